--- /dev/null
+++ b/lab/scenario/commands_test.go
@@ -0,0 +1,225 @@
+package scenario
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+// pollInterval is the pause between looks of expect.
+const pollInterval = 20 * time.Millisecond
+
+// maxShown is the bytes of a body that call prints.
+const maxShown = 1000
+
+// commands are the commands that scripts add to testscript's own.
+var commands = map[string]func(ts *testscript.TestScript, neg bool, args []string){
+	"platform": startPlatform,
+	"fault":    setFault,
+	"instance": startInstance,
+	"call":     makeCall,
+	"flood":    flood,
+	"signal":   sendSignal,
+	"finished": waitFinished,
+	"expect":   expect,
+	"log":      matchLog,
+}
+
+func startPlatform(ts *testscript.TestScript, _ bool, _ []string) {
+	addr := freeAddrs(ts, 1)[0]
+	worldOf(ts).start(ts, "platform", "platform", "-listen", addr)
+	ts.Setenv("platform", "http://"+addr)
+	ts.Setenv("FUCHSIAVANE_PLATFORM", "http://"+addr)
+	await(ts, startTimeout, "http://"+addr+"/v1/stats", regexp.MustCompile("reads"))
+}
+
+func setFault(ts *testscript.TestScript, _ bool, args []string) {
+	response, err := http.Post(ts.Getenv("platform")+"/fault", "application/json", strings.NewReader(args[0]))
+	ts.Check(err)
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		ts.Fatalf("fault: status %d", response.StatusCode)
+	}
+}
+
+func startInstance(ts *testscript.TestScript, _ bool, args []string) {
+	if len(args) < 2 {
+		ts.Fatalf("usage: instance NAME SERVICE [flags]")
+	}
+	name, service := args[0], args[1]
+	flags, extra := flagsOf(ts, args[2:])
+	option := func(flag, value string) string {
+		if v, ok := flags[flag]; ok {
+			return v
+		}
+		return value
+	}
+	addrs := freeAddrs(ts, 5)
+	w := worldOf(ts)
+	w.start(ts, name+".upstream", "upstream", "-listen", addrs[4], "-local", "http://"+addrs[1],
+		"-work", option("work", "0s"), "-next", option("next", ""))
+	w.start(ts, name, "fuchsiavaned", append([]string{
+		"-instance-id", name, "-service", service,
+		"-region", option("region", "south"), "-data-centre", option("dc", "south-1"),
+		"-caller-listen", addrs[0], "-local-listen", addrs[1], "-peer-listen", addrs[2], "-admin-listen", addrs[3],
+		"-upstream", "http://" + addrs[4], "-platform", ts.Getenv("platform"),
+	}, extra...)...)
+	for i, port := range []string{"caller", "local", "", "admin", "upstream"} {
+		ts.Setenv(name+"_"+port, "http://"+addrs[i])
+	}
+	ts.Setenv(name+"_peer", addrs[2])
+	await(ts, startTimeout, "http://"+addrs[3]+"/readyz", regexp.MustCompile("^ready"))
+	await(ts, startTimeout, "http://"+addrs[4]+"/runs", regexp.MustCompile(`^(null|\[)`))
+}
+
+// newRequest makes a request of the arguments after NAME SERVICE PATH.
+func newRequest(ts *testscript.TestScript, args []string, flags map[string]string, headers []string) *http.Request {
+	method := flags["method"]
+	if method == "" {
+		method = http.MethodGet
+	}
+	request, err := http.NewRequest(method, ts.Getenv(args[0]+"_caller")+args[2], strings.NewReader(flags["body"]))
+	ts.Check(err)
+	request.Host = args[1]
+	for _, header := range headers {
+		name, value, _ := strings.Cut(header, "=")
+		request.Header.Set(name, value)
+	}
+	return request
+}
+
+func makeCall(ts *testscript.TestScript, neg bool, args []string) {
+	if len(args) < 3 {
+		ts.Fatalf("usage: call NAME SERVICE PATH [flags] [HEADER=VALUE ...]")
+	}
+	flags, headers := flagsOf(ts, args[3:])
+	response, err := http.DefaultClient.Do(newRequest(ts, args, flags, headers))
+	ts.Check(err)
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	fmt.Fprintf(ts.Stdout(), "status %d\n", response.StatusCode)
+	_ = response.Header.Write(ts.Stdout())
+	fmt.Fprintf(ts.Stdout(), "\n%s\nbody of %d bytes\n", body[:min(len(body), maxShown)], len(body))
+	ok := err == nil && response.StatusCode < 300
+	if ok == neg {
+		ts.Fatalf("call: status %d, body error %v", response.StatusCode, err)
+	}
+}
+
+func flood(ts *testscript.TestScript, _ bool, args []string) {
+	flags, headers := flagsOf(ts, args[3:])
+	length, err := time.ParseDuration(flags["for"])
+	ts.Check(err)
+	callers, err := strconv.Atoi(flags["callers"])
+	ts.Check(err)
+	var mu sync.Mutex
+	counts := map[string]int{}
+	var group sync.WaitGroup
+	end := time.Now().Add(length)
+	for range callers {
+		request := newRequest(ts, args, flags, headers)
+		group.Go(func() {
+			for time.Now().Before(end) {
+				result := sendOne(request.Clone(request.Context()))
+				mu.Lock()
+				counts[result]++
+				mu.Unlock()
+			}
+		})
+	}
+	group.Wait()
+	lines := make([]string, 0, len(counts))
+	for result, n := range counts {
+		lines = append(lines, fmt.Sprintf("%s %d", result, n))
+	}
+	slices.Sort(lines)
+	fmt.Fprintln(ts.Stdout(), strings.Join(lines, "\n"))
+}
+
+// sendOne makes one call and returns its status and outcome.
+func sendOne(request *http.Request) string {
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return "error"
+	}
+	defer response.Body.Close()
+	if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		return "cut"
+	}
+	return fmt.Sprintf("%d %s", response.StatusCode, response.Header.Get("Fuchsiavane-Outcome"))
+}
+
+var signals = map[string]syscall.Signal{
+	"TERM": syscall.SIGTERM, "KILL": syscall.SIGKILL, "STOP": syscall.SIGSTOP, "CONT": syscall.SIGCONT,
+}
+
+func sendSignal(ts *testscript.TestScript, _ bool, args []string) {
+	p := worldOf(ts).process(ts, args[0])
+	ts.Check(p.cmd.Process.Signal(signals[args[1]]))
+	if args[1] == "KILL" {
+		<-p.done
+	}
+}
+
+func waitFinished(ts *testscript.TestScript, _ bool, args []string) {
+	limit, err := time.ParseDuration(args[1])
+	ts.Check(err)
+	p := worldOf(ts).process(ts, args[0])
+	select {
+	case <-p.done:
+		ts.Check(p.err)
+	case <-time.After(limit):
+		ts.Fatalf("%s has not exited within %v", args[0], limit)
+	}
+}
+
+func expect(ts *testscript.TestScript, _ bool, args []string) {
+	limit, err := time.ParseDuration(args[0])
+	ts.Check(err)
+	pattern, err := regexp.Compile("(?m)" + args[2])
+	ts.Check(err)
+	await(ts, limit, args[1], pattern)
+}
+
+// await polls a URL until its body matches.
+func await(ts *testscript.TestScript, limit time.Duration, url string, pattern *regexp.Regexp) {
+	end := time.Now().Add(limit)
+	var body string
+	for time.Now().Before(end) {
+		body = get(url)
+		if pattern.MatchString(body) {
+			return
+		}
+		time.Sleep(pollInterval)
+	}
+	ts.Fatalf("%s did not match %v within %v:\n%s", url, pattern, limit, body)
+}
+
+func get(url string) string {
+	response, err := http.Get(url)
+	if err != nil {
+		return err.Error()
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		return err.Error()
+	}
+	return string(body)
+}
+
+func matchLog(ts *testscript.TestScript, neg bool, args []string) {
+	output := worldOf(ts).process(ts, args[0]).output.String()
+	if regexp.MustCompile(args[1]).MatchString(output) == neg {
+		ts.Fatalf("log of %s (match wanted: %v) %q:\n%s", args[0], !neg, args[1], output)
+	}
+}
--- /dev/null
+++ b/node/admin/admin.go
@@ -0,0 +1,70 @@
+// Package admin serves the operators' port of a daemon.
+package admin
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+)
+
+// Peer is one known peer in a Status.
+type Peer struct {
+	ID         string `json:"id"`
+	Service    string `json:"service"`
+	Region     string `json:"region"`
+	DataCentre string `json:"data_centre"`
+	Addr       string `json:"addr"`
+	State      string `json:"state"`
+}
+
+// Status is the body of /status.
+type Status struct {
+	Version          string `json:"version"`
+	Instance         string `json:"instance"`
+	Service          string `json:"service"`
+	Region           string `json:"region"`
+	DataCentre       string `json:"data_centre"`
+	Life             string `json:"life"`
+	SettingsRevision uint64 `json:"settings_revision"`
+	Running          int    `json:"running"`
+	Queued           int    `json:"queued"`
+	Peers            []Peer `json:"peers"`
+}
+
+// Daemon is what the port shows and drives.
+type Daemon interface {
+	// Status returns the daemon's present state.
+	Status() Status
+	// Ready reports whether the daemon takes new work.
+	Ready() bool
+	// Drain begins a planned stop.
+	Drain()
+	// WriteMetrics writes the metrics in the Prometheus text format.
+	WriteMetrics(w io.Writer)
+}
+
+// Handler returns the handler of the admin port.
+func Handler(d Daemon) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { d.WriteMetrics(w) })
+	mux.HandleFunc("GET /status", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		encoder := json.NewEncoder(w)
+		encoder.SetIndent("", "  ")
+		_ = encoder.Encode(d.Status())
+	})
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok\n") })
+	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if !d.Ready() {
+			http.Error(w, "not ready", http.StatusServiceUnavailable)
+			return
+		}
+		_, _ = io.WriteString(w, "ready\n")
+	})
+	mux.HandleFunc("POST /drain", func(w http.ResponseWriter, _ *http.Request) {
+		d.Drain()
+		w.WriteHeader(http.StatusAccepted)
+		_, _ = io.WriteString(w, "draining\n")
+	})
+	return mux
+}
--- /dev/null
+++ b/node/cmd/fuchsiavaned/main.go
@@ -0,0 +1,55 @@
+// Command fuchsiavaned is the daemon beside each upstream instance.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/pkg/errors"
+
+	"fuchsiavane.org/node/config"
+	"fuchsiavane.org/node/daemon"
+	"fuchsiavane.org/node/event"
+	"fuchsiavane.org/node/platform/client"
+)
+
+// Exit statuses.
+const (
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+func main() { os.Exit(run()) }
+
+func run() int {
+	c, err := config.Parse(os.Args[1:], os.Stderr)
+	if errors.Is(err, flag.ErrHelp) {
+		return 0
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitUsage
+	}
+	level, _ := config.ParseLevel(c.LogLevel) // config.Parse has checked it
+	store, err := client.New(c.Platform)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitUsage
+	}
+	d, err := daemon.New(c, store, event.New(os.Stderr, level, c.InstanceID))
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitUsage
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	if err := d.Run(ctx); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitFailed
+	}
+	return 0
+}
--- /dev/null
+++ b/node/daemon/daemon.go
@@ -0,0 +1,203 @@
+// Package daemon puts the parts of fuchsiavaned together and runs its duties.
+package daemon
+
+import (
+	"context"
+	"io"
+	"net/url"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"fuchsiavane.org/core/route"
+	"fuchsiavane.org/node/admin"
+	"fuchsiavane.org/node/config"
+	"fuchsiavane.org/node/discovery"
+	"fuchsiavane.org/node/event"
+	"fuchsiavane.org/node/gateway"
+	"fuchsiavane.org/node/link"
+	"fuchsiavane.org/node/metrics"
+	"fuchsiavane.org/node/platform"
+	"fuchsiavane.org/node/runs"
+	"fuchsiavane.org/node/settingsync"
+	"fuchsiavane.org/node/upstream"
+)
+
+// Version is the version of the program.
+const Version = "0.1.0"
+
+// tickInterval is the pause between looks at queued requests.
+const tickInterval = 5 * time.Millisecond
+
+// Daemon is one fuchsiavaned.
+type Daemon struct {
+	config   config.Config
+	log      *event.Logger
+	settings *settingsync.Holder
+	syncer   *settingsync.Syncer
+	picker   *route.Picker
+	found    *discovery.Discovery
+	pool     *link.Pool
+	listener *link.Listener
+	gate     *upstream.Gate
+	runner   *upstream.Runner
+	gateway  *gateway.Gateway
+	metrics  *metrics.Metrics
+	ports    *ports
+
+	drainOnce sync.Once
+	draining  chan struct{} // closed when a planned stop begins
+}
+
+// New puts a daemon together. It opens no port.
+func New(c config.Config, store platform.Store, log *event.Logger) (*Daemon, error) {
+	base, err := url.Parse(c.Upstream)
+	if err != nil {
+		return nil, errors.Wrap(err, "upstream")
+	}
+	d := &Daemon{
+		config:   c,
+		log:      log,
+		settings: settingsync.NewHolder(),
+		picker:   route.NewPicker(route.Place{Region: c.Region, DataCentre: c.DataCentre}),
+		metrics:  metrics.New(),
+		draining: make(chan struct{}),
+	}
+	identity := link.Identity{Instance: c.InstanceID, Key: []byte(c.LinkKey)}
+	table := runs.NewTable()
+	d.syncer = settingsync.NewSyncer(store, d.settings, log)
+	d.gate = upstream.NewGate(c.Service, d.settings)
+	d.runner = upstream.NewRunner(base, d.gate, table)
+	d.pool = link.NewPool(identity, log)
+	d.listener = link.NewListener(identity, d.runner, log)
+	d.gateway = gateway.New(gateway.Config{
+		Instance: c.InstanceID, Settings: d.settings, Picker: d.picker, Transport: d.pool,
+		Own: d.runner, Runs: table, Observer: d.metrics, Log: log,
+	})
+	self := route.Peer{ID: c.InstanceID, Service: c.Service, Region: c.Region, DataCentre: c.DataCentre, Addr: c.PeerListen}
+	d.found = discovery.New(self, store, d.picker, log)
+	d.metrics.Gauge("fuchsiavane_running", func() float64 { running, _ := d.gate.Load(); return float64(running) })
+	d.metrics.Gauge("fuchsiavane_queued", func() float64 { _, queued := d.gate.Load(); return float64(queued) })
+	return d, nil
+}
+
+// Run opens the ports and serves until the context ends or Drain is called, and
+// then stops as planned. It returns nil after a planned stop.
+func (d *Daemon) Run(ctx context.Context) error {
+	var err error
+	if d.ports, err = d.listen(); err != nil {
+		return err
+	}
+	if d.config.LinkKey == "" {
+		d.log.Log(event.LinksOpen).Msg("no link key is set: links are taken from loopback only")
+	}
+	duties, stop := context.WithCancel(context.Background())
+	defer stop()
+	var group sync.WaitGroup
+	group.Go(func() { d.syncer.Run(duties) })
+	group.Go(func() { d.found.Run(duties) })
+	group.Go(func() { d.tick(duties) })
+	failed := d.ports.serve()
+	d.log.Log(event.DaemonStarted).Str("service", d.config.Service).Str("peer_listen", d.config.PeerListen).Msg("daemon started")
+	select {
+	case <-ctx.Done():
+	case <-d.draining:
+	case err = <-failed:
+		d.log.Log(event.PortFailed).Err(err).Msg("a port failed")
+	}
+	d.leave(stop, &group)
+	return err
+}
+
+// Drain begins a planned stop.
+func (d *Daemon) Drain() { d.drainOnce.Do(func() { close(d.draining) }) }
+
+// leave is the planned stop: tell the peers, finish what runs, close.
+func (d *Daemon) leave(stopDuties context.CancelFunc, duties *sync.WaitGroup) {
+	d.Drain()
+	d.log.Log(event.DaemonLeaving).Int("running", d.runner.InFlight()).Msg("planned stop")
+	bound := d.settings.Current().Document.ServiceValues(d.config.Service).Drain
+	ctx, cancel := context.WithTimeout(context.Background(), bound)
+	defer cancel()
+	stopDuties()
+	duties.Wait()
+	_ = d.found.Leave(ctx)
+	d.runner.Leave()
+	d.ports.drain(ctx)
+	d.finish(ctx)
+	cut := d.runner.InFlight()
+	goneCtx, cancelGone := context.WithTimeout(context.Background(), time.Second)
+	defer cancelGone()
+	_ = d.found.Gone(goneCtx)
+	d.listener.Close()
+	d.pool.Close()
+	d.ports.close()
+	d.log.Log(event.DaemonStopped).Int("cut", cut).Msg("daemon stopped")
+}
+
+// finish waits until nothing runs at the upstream.
+func (d *Daemon) finish(ctx context.Context) {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for d.runner.InFlight() > 0 {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			d.gate.Tick(now)
+		}
+	}
+}
+
+func (d *Daemon) tick(ctx context.Context) {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			d.gate.Tick(now)
+		}
+	}
+}
+
+var _ admin.Daemon = (*Daemon)(nil)
+
+// Ready implements admin.Daemon.
+func (d *Daemon) Ready() bool {
+	select {
+	case <-d.draining:
+		return false
+	default:
+		return true
+	}
+}
+
+// WriteMetrics implements admin.Daemon.
+func (d *Daemon) WriteMetrics(w io.Writer) { d.metrics.Write(w) }
+
+// Status implements admin.Daemon.
+func (d *Daemon) Status() admin.Status {
+	life := "serving"
+	if !d.Ready() {
+		life = "leaving"
+	}
+	running, queued := d.gate.Load()
+	s := admin.Status{
+		Version: Version, Instance: d.config.InstanceID, Service: d.config.Service,
+		Region: d.config.Region, DataCentre: d.config.DataCentre, Life: life,
+		SettingsRevision: d.settings.Current().Revision, Running: running, Queued: queued,
+	}
+	for _, p := range d.picker.Peers() {
+		state := "serving"
+		if p.Leaving {
+			state = "leaving"
+		}
+		s.Peers = append(s.Peers, admin.Peer{
+			ID: p.ID, Service: p.Service, Region: p.Region, DataCentre: p.DataCentre, Addr: p.Addr, State: state,
+		})
+	}
+	return s
+}
--- /dev/null
+++ b/node/daemon/ports.go
@@ -0,0 +1,110 @@
+package daemon
+
+import (
+	"context"
+	"io"
+	stdlog "log"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"fuchsiavane.org/node/admin"
+	"fuchsiavane.org/node/call"
+	"fuchsiavane.org/node/link"
+)
+
+const (
+	// readHeaderTimeout bounds the time that a client takes to send a header.
+	readHeaderTimeout = 5 * time.Second
+	// idleTimeout ends connections without a request.
+	idleTimeout = 2 * time.Minute
+)
+
+// port is one listening HTTP server.
+type port struct {
+	name     string
+	listener net.Listener
+	server   *http.Server
+}
+
+// ports are the daemon's listening ports.
+type ports struct {
+	caller, local, peer, admin *port
+}
+
+func (d *Daemon) listen() (*ports, error) {
+	peer := http.NewServeMux()
+	peer.Handle(link.Path, d.listener)
+	p := &ports{}
+	for _, want := range []struct {
+		at      **port
+		name    string
+		addr    string
+		handler http.Handler
+	}{
+		{&p.caller, "caller", d.config.CallerListen, d.gateway.CallerPort()},
+		{&p.local, "local", d.config.LocalListen, d.gateway.LocalPort()},
+		{&p.peer, "peer", d.config.PeerListen, peer},
+		{&p.admin, "admin", d.config.AdminListen, admin.Handler(d)},
+	} {
+		opened, err := open(want.name, want.addr, want.handler)
+		if err != nil {
+			p.close()
+			return nil, err
+		}
+		*want.at = opened
+	}
+	return p, nil
+}
+
+func open(name, addr string, handler http.Handler) (*port, error) {
+	listener, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, errors.Wrapf(err, "%s port", name)
+	}
+	return &port{name, listener, &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    call.MaxHeaderBytes,
+		ErrorLog:          stdlog.New(io.Discard, "", 0),
+	}}, nil
+}
+
+func (p *ports) all() []*port {
+	var all []*port
+	for _, one := range []*port{p.caller, p.local, p.peer, p.admin} {
+		if one != nil {
+			all = append(all, one)
+		}
+	}
+	return all
+}
+
+// serve starts every port and returns a channel that gets the first failure.
+func (p *ports) serve() <-chan error {
+	failed := make(chan error, len(p.all()))
+	for _, one := range p.all() {
+		go func() {
+			if err := one.server.Serve(one.listener); !errors.Is(err, http.ErrServerClosed) {
+				failed <- errors.Wrapf(err, "%s port", one.name)
+			}
+		}()
+	}
+	return failed
+}
+
+// drain closes the caller port to new work and waits for what it has in
+// progress. The local port serves on, since running requests use it.
+func (p *ports) drain(ctx context.Context) {
+	_ = p.caller.server.Shutdown(ctx)
+}
+
+func (p *ports) close() {
+	for _, one := range p.all() {
+		_ = one.server.Close()
+		_ = one.listener.Close()
+	}
+}
--- /dev/null
+++ b/node/gateway/gateway.go
@@ -0,0 +1,150 @@
+// Package gateway takes calls at the caller port and at the local port, finds a
+// peer that serves them, and retries within the request's budget.
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+
+	"fuchsiavane.org/core/retry"
+	"fuchsiavane.org/core/route"
+	"fuchsiavane.org/core/settings"
+	"fuchsiavane.org/node/call"
+	"fuchsiavane.org/node/event"
+	"fuchsiavane.org/node/link"
+	"fuchsiavane.org/node/runs"
+	"fuchsiavane.org/node/settingsync"
+)
+
+// Transport sends a request to a peer; link.Pool is the one in use.
+type Transport interface {
+	Do(ctx context.Context, addr string, class link.Class, r *call.Request) (*call.Answer, error)
+}
+
+// Observer is told of each call that ended, for the metrics.
+type Observer interface {
+	Called(service, caller, rank string, outcome call.Outcome, refusal call.Refusal, took time.Duration)
+}
+
+// Config is what a Gateway is made of.
+type Config struct {
+	// Instance is the own instance id; calls to it skip the link.
+	Instance  string
+	Settings  *settingsync.Holder
+	Picker    *route.Picker
+	Transport Transport
+	// Own runs requests at the own upstream.
+	Own      call.Server
+	Runs     *runs.Table
+	Observer Observer
+	Log      *event.Logger
+}
+
+// Gateway makes calls. It is safe for concurrent use.
+type Gateway struct {
+	Config
+}
+
+// New returns a Gateway.
+func New(config Config) *Gateway { return &Gateway{config} }
+
+// Call makes one call: it sends the request to a peer, and again to another
+// while that is allowed. budget holds the retries of the call's parent.
+func (g *Gateway) Call(ctx context.Context, r *call.Request, values *settings.Values, budget *retry.Budget) *call.Answer {
+	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
+	var tried []string
+	for {
+		answer, peer := g.attempt(ctx, r, values, budget, tried)
+		if !g.again(ctx, r, answer, peer, budget) {
+			answer.Body = &cancellingBody{answer.Body, cancel}
+			return answer
+		}
+		_ = answer.Body.Close()
+		tried = append(tried, peer)
+	}
+}
+
+// again decides whether to send the request once more, and pays for it.
+func (g *Gateway) again(ctx context.Context, r *call.Request, answer *call.Answer, peer string, budget *retry.Budget) bool {
+	if peer == "" || answer.Refusal == call.RefusedNone || ctx.Err() != nil {
+		return false
+	}
+	if answer.Outcome != call.NotRun && !r.Idempotent {
+		return false
+	}
+	switch answer.Refusal {
+	case call.RefusedOverload, call.RefusedDraining, call.RefusedUnreachable:
+		return budget.Take()
+	}
+	return false
+}
+
+// attempt sends the request to one peer. The peer's id is empty if there is
+// none to try.
+func (g *Gateway) attempt(ctx context.Context, r *call.Request, values *settings.Values, budget *retry.Budget, tried []string) (*call.Answer, string) {
+	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	query := route.Query{Service: r.Service, Tried: tried, CrossRegion: values.CrossRegion == settings.CrossRegionSpill}
+	peer, ok := g.Picker.Pick(query, random)
+	if !ok {
+		a := call.Refuse(call.NotRun, call.RefusedNoUpstream, "no upstream of service "+r.Service+" can be used")
+		a.RetryAfter = time.Second
+		return a, ""
+	}
+	began := time.Now()
+	attempt := *r
+	attempt.Run = uuid.NewString()
+	attempt.Retries = budget.Lend()
+	answer := g.send(ctx, &attempt, peer, values)
+	budget.Return(attempt.Retries, answer.Unspent)
+	g.Picker.Done(time.Now(), peer.ID, route.Result{
+		Latency: time.Since(began),
+		Failed:  answer.Refusal == call.RefusedUnreachable,
+		Refused: answer.Outcome == call.NotRun,
+	})
+	return answer, peer.ID
+}
+
+func (g *Gateway) send(ctx context.Context, r *call.Request, peer route.Peer, values *settings.Values) *call.Answer {
+	if peer.ID == g.Instance {
+		return g.Own.Serve(ctx, r)
+	}
+	answer, err := g.Transport.Do(ctx, peer.Addr, g.class(values.Rank), r)
+	if err == nil {
+		return answer
+	}
+	return lost(r, peer, err)
+}
+
+// class puts the least urgent of several ranks on links of its own.
+func (g *Gateway) class(rank string) link.Class {
+	ranks := g.Settings.Current().Document.Ranks()
+	if len(ranks) > 1 && ranks[len(ranks)-1].Name == rank {
+		return link.ClassBulk
+	}
+	return link.ClassUrgent
+}
+
+// lost makes the answer to an attempt that got none.
+func lost(r *call.Request, peer route.Peer, err error) *call.Answer {
+	outcome := call.Unknown
+	unspent := 0
+	var failure *link.Error
+	if errors.As(err, &failure) && !failure.Sent {
+		outcome = call.NotRun
+		unspent = r.Retries
+	}
+	refusal := call.RefusedUnreachable
+	switch {
+	case errors.Is(err, context.DeadlineExceeded):
+		refusal = call.RefusedDeadline
+	case errors.Is(err, context.Canceled):
+		refusal = call.RefusedCancelled
+	}
+	a := call.Refuse(outcome, refusal, "instance "+peer.ID+": "+err.Error())
+	a.Unspent = unspent
+	return a
+}
--- /dev/null
+++ b/node/gateway/http.go
@@ -0,0 +1,259 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+
+	"fuchsiavane.org/core/callctx"
+	"fuchsiavane.org/core/retry"
+	"fuchsiavane.org/core/settings"
+	"fuchsiavane.org/node/call"
+	"fuchsiavane.org/node/event"
+	"fuchsiavane.org/node/problem"
+)
+
+// maxKeyBytes bounds an idempotency key.
+const maxKeyBytes = 128
+
+// maxNameBytes bounds the names of services, callers and ranks.
+const maxNameBytes = 128
+
+// prepared is a request that is ready to be called.
+type prepared struct {
+	ctx     context.Context
+	request *call.Request
+	values  settings.Values
+	budget  *retry.Budget
+	madeKey bool
+}
+
+// CallerPort returns the handler of the caller port.
+func (g *Gateway) CallerPort() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { g.handle(w, r, g.fromCaller) })
+}
+
+// LocalPort returns the handler of the local port, at which the upstream makes
+// its own calls.
+func (g *Gateway) LocalPort() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { g.handle(w, r, g.fromUpstream) })
+}
+
+func (g *Gateway) handle(w http.ResponseWriter, r *http.Request, prepare func(*http.Request) (*prepared, *call.Answer)) {
+	began := time.Now()
+	p, refusal := prepare(r)
+	if refusal != nil {
+		g.Log.Log(event.BadCallerInput).Str("remote", r.RemoteAddr).Str("detail", refusal.Detail).Msg("request refused")
+		problem.Write(w, refusal)
+		return
+	}
+	answer := g.Call(p.ctx, p.request, &p.values, p.budget)
+	defer answer.Body.Close()
+	if p.madeKey {
+		w.Header().Set(call.HeaderKey, p.request.Key)
+	}
+	g.Observer.Called(p.request.Service, p.request.Caller, p.request.Rank, answer.Outcome, answer.Refusal, time.Since(began))
+	if answer.Refusal != call.RefusedNone {
+		problem.Write(w, answer)
+		return
+	}
+	writeAnswer(w, answer)
+}
+
+// writeAnswer passes an upstream's answer on. A cut answer breaks the
+// connection, so that it never looks complete.
+func writeAnswer(w http.ResponseWriter, answer *call.Answer) {
+	header := w.Header()
+	for name, values := range answer.Header {
+		header[name] = values
+	}
+	header.Set(call.HeaderOutcome, string(answer.Outcome))
+	if answer.Length >= 0 {
+		header.Set("Content-Length", strconv.FormatInt(answer.Length, 10))
+	}
+	w.WriteHeader(answer.Status)
+	if _, err := io.Copy(w, answer.Body); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// fromCaller prepares a request at the caller port.
+func (g *Gateway) fromCaller(r *http.Request) (*prepared, *call.Answer) {
+	r.Header.Del(callctx.Header)
+	request := &call.Request{ID: uuid.NewString(), Caller: r.Header.Get(call.HeaderCaller)}
+	p, err := g.prepare(r, request, r.Header.Get(call.HeaderRank))
+	if err != nil {
+		return nil, badRequest(err)
+	}
+	p.ctx = r.Context()
+	p.budget = retry.NewBudget(p.values.Attempts - 1)
+	return p, nil
+}
+
+// fromUpstream prepares a call that the own upstream makes while it serves a
+// request, or on its own account.
+func (g *Gateway) fromUpstream(r *http.Request) (*prepared, *call.Answer) {
+	encoded := r.Header.Get(callctx.Header)
+	if encoded == "" {
+		return g.fromCaller(r)
+	}
+	parent, err := callctx.Decode(encoded)
+	if err != nil {
+		return nil, badRequest(err)
+	}
+	r.Header.Del(callctx.Header)
+	request := &call.Request{ID: parent.RequestID, Caller: parent.Caller, Deadline: parent.Deadline}
+	p, err := g.prepare(r, request, lessUrgent(g.Settings.Current().Document, parent.Rank, r.Header.Get(call.HeaderRank)))
+	if err != nil {
+		return nil, badRequest(err)
+	}
+	p.ctx = r.Context()
+	p.budget = retry.NewBudget(0)
+	if run := g.Runs.Find(parent.Run); run != nil {
+		p.budget = run.Budget
+		ctx, cancel := context.WithCancel(r.Context())
+		context.AfterFunc(run.Context, cancel)
+		p.ctx = ctx
+	}
+	return p, nil
+}
+
+// lessUrgent returns the less urgent of two rank names.
+func lessUrgent(d *settings.Document, a, b string) string {
+	if d.RankIndex(b) > d.RankIndex(a) {
+		return b
+	}
+	return a
+}
+
+// prepare fills in what both ports share.
+func (g *Gateway) prepare(r *http.Request, request *call.Request, rank string) (*prepared, error) {
+	if err := checkHead(r, request); err != nil {
+		return nil, err
+	}
+	body, err := readBody(r)
+	if err != nil {
+		return nil, err
+	}
+	request.Service = serviceOf(r)
+	request.Method = r.Method
+	request.Target = r.URL.RequestURI()
+	request.Path = r.URL.Path
+	request.Body = body
+	request.Key = r.Header.Get(call.HeaderKey)
+	values := g.Settings.Current().Document.Resolve(request.Service, r.Method, r.URL.Path, rank)
+	request.Rank = values.Rank
+	request.Idempotent = values.IsIdempotent(r.Method)
+	if request.Deadline, err = deadline(r, request.Deadline, values.Timeout); err != nil {
+		return nil, err
+	}
+	p := &prepared{request: request, values: values}
+	if !request.Idempotent && request.Key == "" {
+		request.Key = uuid.Must(uuid.NewV7()).String()
+		p.madeKey = true
+	}
+	request.Header = forwardHeader(r.Header)
+	return p, nil
+}
+
+func checkHead(r *http.Request, request *call.Request) error {
+	if serviceOf(r) == "" {
+		return errors.New("no service: set the Host header or " + call.HeaderService)
+	}
+	names := []struct{ name, value string }{
+		{"service", serviceOf(r)},
+		{call.HeaderCaller, request.Caller},
+		{call.HeaderRank, r.Header.Get(call.HeaderRank)},
+	}
+	for _, n := range names {
+		if len(n.value) > maxNameBytes {
+			return errors.Errorf("%s has %d bytes, more than %d", n.name, len(n.value), maxNameBytes)
+		}
+	}
+	if n := len(r.Header.Get(call.HeaderKey)); n > maxKeyBytes {
+		return errors.Errorf("%s has %d bytes, more than %d", call.HeaderKey, n, maxKeyBytes)
+	}
+	if r.Method == http.MethodConnect || r.Header.Get("Upgrade") != "" {
+		return errors.New("CONNECT and protocol upgrades are not carried")
+	}
+	return nil
+}
+
+// serviceOf returns the service asked for: the header, else Host without port.
+func serviceOf(r *http.Request) string {
+	if s := r.Header.Get(call.HeaderService); s != "" {
+		return s
+	}
+	host, _, _ := strings.Cut(r.Host, ":")
+	return host
+}
+
+var errTooLarge = errors.Errorf("the body is larger than %d bytes", call.MaxRequestBody)
+
+func readBody(r *http.Request) ([]byte, error) {
+	if r.ContentLength == 0 {
+		return nil, nil
+	}
+	if r.ContentLength > call.MaxRequestBody {
+		return nil, errTooLarge
+	}
+	if r.ContentLength > 0 {
+		body := make([]byte, r.ContentLength)
+		_, err := io.ReadFull(r.Body, body)
+		return body, errors.Wrap(err, "request body")
+	}
+	body, err := io.ReadAll(io.LimitReader(r.Body, call.MaxRequestBody+1))
+	if len(body) > call.MaxRequestBody {
+		return nil, errTooLarge
+	}
+	return body, errors.Wrap(err, "request body")
+}
+
+// deadline takes the earliest of the parent's, the caller's and the tree's.
+func deadline(r *http.Request, parent time.Time, timeout time.Duration) (time.Time, error) {
+	if text := r.Header.Get(call.HeaderTimeout); text != "" {
+		ms, err := strconv.ParseInt(text, 10, 32)
+		if err != nil || ms <= 0 {
+			return time.Time{}, errors.Errorf("%s %q is not a whole number of milliseconds above 0", call.HeaderTimeout, text)
+		}
+		timeout = min(timeout, time.Duration(ms)*time.Millisecond)
+	}
+	end := time.Now().Add(timeout)
+	if !parent.IsZero() && parent.Before(end) {
+		return parent, nil
+	}
+	return end, nil
+}
+
+func forwardHeader(from http.Header) http.Header {
+	header := from.Clone()
+	call.RemoveHopByHop(header)
+	header.Del(call.HeaderService)
+	return header
+}
+
+func badRequest(err error) *call.Answer {
+	if errors.Is(err, errTooLarge) {
+		return call.Refuse(call.NotRun, call.RefusedTooLarge, err.Error())
+	}
+	return call.Refuse(call.NotRun, call.RefusedBadRequest, err.Error())
+}
+
+// cancellingBody releases the call's context when the body is closed.
+type cancellingBody struct {
+	io.ReadCloser
+	cancel context.CancelFunc
+}
+
+// Close implements io.Closer.
+func (b *cancellingBody) Close() error {
+	err := b.ReadCloser.Close()
+	b.cancel()
+	return err
+}
--- /dev/null
+++ b/node/link/conn.go
@@ -0,0 +1,203 @@
+// Package link carries calls between daemons: WebSocket connections with CBOR
+// frames, many streams on each, with flow control for each stream.
+//
+// Urgent and bulk work go on separate connections. A Link is owned by a Pool on
+// the calling side and by a Listener on the serving side. All exported types
+// are safe for concurrent use.
+package link
+
+import (
+	"bytes"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gorilla/websocket"
+	"github.com/pkg/errors"
+
+	"fuchsiavane.org/node/wire"
+)
+
+const (
+	// maxPending is the bytes waiting to be written at which senders wait.
+	maxPending = 128 << 10
+	// writeTimeout bounds one write to the network.
+	writeTimeout = 5 * time.Second
+	// heartbeatInterval is the pause between pings on an idle link.
+	heartbeatInterval = time.Second
+	// silenceLimit is the time without a frame after which a link is given up.
+	silenceLimit = 3 * time.Second
+	// handshakeTimeout bounds the opening of a link.
+	handshakeTimeout = 3 * time.Second
+)
+
+// Reasons for the end of a link.
+var (
+	// ErrSilent means that the other side sent nothing for silenceLimit.
+	ErrSilent = errors.New("link: silent connection")
+	// ErrClosed means that this side closed the link.
+	ErrClosed = errors.New("link: closed")
+	// ErrMalformed means that the other side broke the protocol.
+	ErrMalformed = errors.New("link: malformed frame")
+	// ErrRefused means that the handshake failed.
+	ErrRefused = errors.New("link: handshake refused")
+)
+
+// conn writes and reads frames on one WebSocket connection. Senders append to a
+// shared buffer; the first of them writes for all, so that frames of many calls
+// leave in one write under load and no writer goroutine is woken.
+type conn struct {
+	ws       *websocket.Conn
+	lastRead atomic.Int64 // Unix nanoseconds
+
+	mu      sync.Mutex
+	room    *sync.Cond
+	pending *bytes.Buffer
+	spare   *bytes.Buffer
+	writing bool
+	err     error
+	done    chan struct{}
+}
+
+func newConn(ws *websocket.Conn) *conn {
+	c := &conn{
+		ws:      ws,
+		pending: &bytes.Buffer{},
+		spare:   &bytes.Buffer{},
+		done:    make(chan struct{}),
+	}
+	c.room = sync.NewCond(&c.mu)
+	c.lastRead.Store(time.Now().UnixNano())
+	ws.SetReadLimit(wire.MaxMessage)
+	return c
+}
+
+// send queues a frame and writes if nobody else does. It waits while too much
+// is queued; only goroutines that own a call may use it.
+func (c *conn) send(f *wire.Frame) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for c.pending.Len() > maxPending && c.err == nil {
+		c.room.Wait()
+	}
+	if err := c.append(f); err != nil {
+		return err
+	}
+	if !c.writing {
+		c.writing = true
+		c.flush()
+	}
+	return c.err
+}
+
+// post queues a small frame without ever waiting; the reader uses it.
+func (c *conn) post(f *wire.Frame) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.append(f) != nil || c.writing {
+		return
+	}
+	c.writing = true
+	go func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.flush()
+	}()
+}
+
+func (c *conn) append(f *wire.Frame) error {
+	if c.err != nil {
+		return c.err
+	}
+	return wire.Append(c.pending, f)
+}
+
+// flush writes until nothing is pending. The caller holds the lock and has set
+// writing.
+func (c *conn) flush() {
+	for c.pending.Len() > 0 && c.err == nil {
+		out := c.pending
+		c.pending = c.spare
+		c.mu.Unlock()
+		_ = c.ws.SetWriteDeadline(time.Now().Add(writeTimeout))
+		err := c.ws.WriteMessage(websocket.BinaryMessage, out.Bytes())
+		out.Reset()
+		c.mu.Lock()
+		c.spare = out
+		c.room.Broadcast()
+		if err != nil {
+			c.fail(errors.Wrap(err, "link: write"))
+		}
+	}
+	c.writing = false
+}
+
+// read calls handle for each frame until the connection ends, and returns why.
+func (c *conn) read(handle func(wire.Frame) error) error {
+	for {
+		kind, message, err := c.ws.ReadMessage()
+		if err != nil {
+			return errors.Wrap(err, "link: read")
+		}
+		c.lastRead.Store(time.Now().UnixNano())
+		if kind != websocket.BinaryMessage {
+			return errors.Wrap(ErrMalformed, "text message")
+		}
+		for len(message) > 0 {
+			var f wire.Frame
+			f, message, err = wire.Decode(message)
+			if err != nil {
+				return errors.Wrap(ErrMalformed, err.Error())
+			}
+			if err := handle(f); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+// heartbeat pings an idle connection and closes a silent one. It returns when
+// the connection ends.
+func (c *conn) heartbeat() {
+	ticker := time.NewTicker(heartbeatInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-c.done:
+			return
+		case now := <-ticker.C:
+			idle := now.Sub(time.Unix(0, c.lastRead.Load()))
+			if idle > silenceLimit {
+				c.close(ErrSilent)
+				return
+			}
+			if idle > heartbeatInterval/2 {
+				c.post(&wire.Frame{Type: wire.TypePing})
+			}
+		}
+	}
+}
+
+// close ends the connection; the first reason is kept.
+func (c *conn) close(reason error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.fail(reason)
+}
+
+func (c *conn) fail(reason error) {
+	if c.err != nil {
+		return
+	}
+	c.err = reason
+	close(c.done)
+	c.room.Broadcast()
+	_ = c.ws.Close()
+}
+
+// reason returns why the connection ended.
+func (c *conn) reason() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.err
+}
--- /dev/null
+++ b/node/link/credit.go
@@ -0,0 +1,48 @@
+package link
+
+import (
+	"context"
+	"sync"
+)
+
+// credit is the body bytes that a sender may still send on one stream.
+type credit struct {
+	mu    sync.Mutex
+	bytes int
+	more  chan struct{} // holds one token when credit was granted
+}
+
+func newCredit(bytes int) *credit {
+	return &credit{bytes: bytes, more: make(chan struct{}, 1)}
+}
+
+// grant adds credit.
+func (c *credit) grant(n int) {
+	c.mu.Lock()
+	c.bytes += n
+	c.mu.Unlock()
+	select {
+	case c.more <- struct{}{}:
+	default:
+	}
+}
+
+// take waits for credit and returns at most want bytes of it.
+func (c *credit) take(ctx context.Context, done <-chan struct{}, want int) (int, error) {
+	for {
+		c.mu.Lock()
+		n := min(c.bytes, want)
+		c.bytes -= n
+		c.mu.Unlock()
+		if n > 0 {
+			return n, nil
+		}
+		select {
+		case <-c.more:
+		case <-ctx.Done():
+			return 0, ctx.Err()
+		case <-done:
+			return 0, ErrClosed
+		}
+	}
+}
--- /dev/null
+++ b/node/link/handshake.go
@@ -0,0 +1,122 @@
+package link
+
+import (
+	"crypto/hmac"
+	"crypto/rand"
+	"crypto/sha256"
+	"time"
+
+	"github.com/gorilla/websocket"
+	"github.com/pkg/errors"
+
+	"fuchsiavane.org/node/wire"
+)
+
+// Class separates urgent from bulk work: each has its own connection.
+type Class string
+
+// Classes of links.
+const (
+	ClassUrgent Class = "urgent"
+	ClassBulk   Class = "bulk"
+)
+
+// Identity is what a daemon proves to its peers.
+type Identity struct {
+	// Instance is the instance id.
+	Instance string
+	// Key is the shared secret; empty for links on loopback only.
+	Key []byte
+}
+
+const nonceBytes = 16
+
+// Roles in a proof, so that one side's proof can't serve as the other's.
+const (
+	roleCalling = "calling"
+	roleServing = "serving"
+)
+
+func newNonce() []byte {
+	nonce := make([]byte, nonceBytes)
+	_, _ = rand.Read(nonce) // crypto/rand.Read never fails
+	return nonce
+}
+
+// prove returns the HMAC that shows knowledge of the key.
+func (id Identity) prove(role, instance string, callingNonce, servingNonce []byte) []byte {
+	mac := hmac.New(sha256.New, id.Key)
+	mac.Write([]byte(role))
+	mac.Write([]byte{0})
+	mac.Write([]byte(instance))
+	mac.Write([]byte{0})
+	mac.Write(callingNonce)
+	mac.Write(servingNonce)
+	return mac.Sum(nil)
+}
+
+// greetServing does the calling side's part of the handshake.
+func greetServing(ws *websocket.Conn, id Identity, class Class) error {
+	nonce := newNonce()
+	hello := &wire.Hello{Version: wire.Version, Instance: id.Instance, Nonce: nonce, Class: string(class)}
+	if err := writeHello(ws, wire.TypeHello, hello); err != nil {
+		return err
+	}
+	peer, err := readHello(ws, wire.TypeHello)
+	if err != nil {
+		return err
+	}
+	if !hmac.Equal(peer.Proof, id.prove(roleServing, peer.Instance, nonce, peer.Nonce)) {
+		return errors.Wrapf(ErrRefused, "instance %q does not prove the link key", peer.Instance)
+	}
+	proof := id.prove(roleCalling, id.Instance, nonce, peer.Nonce)
+	return writeHello(ws, wire.TypeProof, &wire.Hello{Version: wire.Version, Instance: id.Instance, Proof: proof})
+}
+
+// greetCalling does the serving side's part and returns the peer's hello.
+func greetCalling(ws *websocket.Conn, id Identity) (*wire.Hello, error) {
+	peer, err := readHello(ws, wire.TypeHello)
+	if err != nil {
+		return nil, err
+	}
+	if peer.Version != wire.Version || len(peer.Nonce) != nonceBytes {
+		return nil, errors.Wrapf(ErrRefused, "instance %q speaks version %d, not %d", peer.Instance, peer.Version, wire.Version)
+	}
+	nonce := newNonce()
+	hello := &wire.Hello{
+		Version: wire.Version, Instance: id.Instance, Nonce: nonce,
+		Proof: id.prove(roleServing, id.Instance, peer.Nonce, nonce),
+	}
+	if err := writeHello(ws, wire.TypeHello, hello); err != nil {
+		return nil, err
+	}
+	proof, err := readHello(ws, wire.TypeProof)
+	if err != nil {
+		return nil, err
+	}
+	if !hmac.Equal(proof.Proof, id.prove(roleCalling, peer.Instance, peer.Nonce, nonce)) {
+		return nil, errors.Wrapf(ErrRefused, "instance %q does not prove the link key", peer.Instance)
+	}
+	return peer, nil
+}
+
+func writeHello(ws *websocket.Conn, t wire.Type, h *wire.Hello) error {
+	c := newConn(ws)
+	return c.send(&wire.Frame{Type: t, Hello: h})
+}
+
+func readHello(ws *websocket.Conn, t wire.Type) (*wire.Hello, error) {
+	ws.SetReadLimit(wire.MaxChunk)
+	if err := ws.SetReadDeadline(time.Now().Add(handshakeTimeout)); err != nil {
+		return nil, errors.Wrap(err, "link: handshake")
+	}
+	_, message, err := ws.ReadMessage()
+	if err != nil {
+		return nil, errors.Wrap(err, "link: handshake")
+	}
+	f, rest, err := wire.Decode(message)
+	if err != nil || f.Type != t || len(rest) > 0 {
+		return nil, errors.Wrap(ErrMalformed, "handshake")
+	}
+	return f.Hello, errors.Wrap(ws.SetReadDeadline(time.Time{}), "link: handshake")
+}
--- /dev/null
+++ b/node/platform/client/client.go
@@ -0,0 +1,234 @@
+// Package client speaks the HTTP protocol of the platform's store.
+package client
+
+import (
+	"context"
+	"encoding/base64"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/dghubble/sling"
+	"github.com/pkg/errors"
+
+	"fuchsiavane.org/node/platform"
+)
+
+// callTimeout bounds one call that is not a watch.
+const callTimeout = 5 * time.Second
+
+// watchGrace is added to a watch's wait before the call is given up.
+const watchGrace = 5 * time.Second
+
+// maxResponse bounds a response body in bytes.
+const maxResponse = 64 << 20
+
+// Client is a platform.Store over HTTP. It is safe for concurrent use.
+type Client struct {
+	base *sling.Sling
+	http *http.Client
+}
+
+var _ platform.Store = (*Client)(nil)
+
+// New returns a Client for a base URL.
+func New(baseURL string) (*Client, error) {
+	u, err := url.Parse(baseURL)
+	if err != nil || u.Host == "" {
+		return nil, errors.Errorf("platform address %q is not a base URL", baseURL)
+	}
+	return &Client{
+		base: sling.New().Base(strings.TrimSuffix(baseURL, "/") + "/"),
+		http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute}},
+	}, nil
+}
+
+type putParams struct {
+	IfRevision uint64 `url:"if-revision"`
+	Lease      string `url:"lease,omitempty"`
+}
+
+type listParams struct {
+	Prefix string `url:"prefix"`
+}
+
+type watchParams struct {
+	Prefix    string `url:"prefix"`
+	After     uint64 `url:"after"`
+	TimeoutMs int64  `url:"timeout-ms"`
+}
+
+type entryBody struct {
+	Key      string `json:"key"`
+	Value    string `json:"value"`
+	Revision uint64 `json:"revision"`
+	Deleted  bool   `json:"deleted"`
+}
+
+type reply struct {
+	Revision uint64      `json:"revision"`
+	Entries  []entryBody `json:"entries"`
+	Events   []entryBody `json:"events"`
+	ID       string      `json:"id"`
+}
+
+// Get implements platform.Store.
+func (c *Client) Get(ctx context.Context, key string) (platform.Entry, error) {
+	response, body, err := c.do(ctx, c.base.New().Get("v1/kv/"+escapeKey(key)), callTimeout)
+	if err != nil {
+		return platform.Entry{}, err
+	}
+	revision, err := strconv.ParseUint(response.Header.Get("Revision"), 10, 64)
+	if err != nil {
+		return platform.Entry{}, errors.Wrap(err, "platform: header Revision")
+	}
+	return platform.Entry{Key: key, Value: body, Revision: revision}, nil
+}
+
+// Put implements platform.Store.
+func (c *Client) Put(ctx context.Context, key string, value []byte, ifRevision uint64, lease string) (uint64, error) {
+	if len(value) > platform.MaxValueBytes {
+		return 0, platform.ErrTooLarge
+	}
+	request := c.base.New().Put("v1/kv/" + escapeKey(key)).
+		QueryStruct(putParams{ifRevision, lease}).
+		Body(strings.NewReader(string(value)))
+	r, err := c.json(ctx, request, callTimeout)
+	return r.Revision, err
+}
+
+// Delete implements platform.Store.
+func (c *Client) Delete(ctx context.Context, key string, ifRevision uint64) error {
+	request := c.base.New().Delete("v1/kv/" + escapeKey(key)).QueryStruct(putParams{IfRevision: ifRevision})
+	_, _, err := c.do(ctx, request, callTimeout)
+	return err
+}
+
+// List implements platform.Store.
+func (c *Client) List(ctx context.Context, prefix string) ([]platform.Entry, uint64, error) {
+	r, err := c.json(ctx, c.base.New().Get("v1/list").QueryStruct(listParams{prefix}), callTimeout)
+	if err != nil {
+		return nil, 0, err
+	}
+	entries := make([]platform.Entry, len(r.Entries))
+	for i, e := range r.Entries {
+		if entries[i], err = e.entry(); err != nil {
+			return nil, 0, err
+		}
+	}
+	return entries, r.Revision, nil
+}
+
+// Watch implements platform.Store.
+func (c *Client) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]platform.Change, uint64, error) {
+	request := c.base.New().Get("v1/watch").QueryStruct(watchParams{prefix, after, wait.Milliseconds()})
+	r, err := c.json(ctx, request, wait+watchGrace)
+	if err != nil {
+		return nil, 0, err
+	}
+	changes := make([]platform.Change, len(r.Events))
+	for i, e := range r.Events {
+		entry, err := e.entry()
+		if err != nil {
+			return nil, 0, err
+		}
+		changes[i] = platform.Change{Entry: entry, Deleted: e.Deleted}
+	}
+	return changes, r.Revision, nil
+}
+
+type grantBody struct {
+	TTL int64 `json:"ttl_ms"`
+}
+
+// Grant implements platform.Store.
+func (c *Client) Grant(ctx context.Context, ttl time.Duration) (string, error) {
+	r, err := c.json(ctx, c.base.New().Post("v1/leases").BodyJSON(grantBody{ttl.Milliseconds()}), callTimeout)
+	return r.ID, err
+}
+
+// KeepAlive implements platform.Store.
+func (c *Client) KeepAlive(ctx context.Context, lease string) error {
+	_, _, err := c.do(ctx, c.base.New().Post("v1/leases/"+url.PathEscape(lease)+"/keepalive"), callTimeout)
+	return leaseError(err)
+}
+
+// Revoke implements platform.Store.
+func (c *Client) Revoke(ctx context.Context, lease string) error {
+	_, _, err := c.do(ctx, c.base.New().Delete("v1/leases/"+url.PathEscape(lease)), callTimeout)
+	return leaseError(err)
+}
+
+func leaseError(err error) error {
+	if errors.Is(err, platform.ErrNotFound) {
+		return platform.ErrLeaseGone
+	}
+	return err
+}
+
+func (c *Client) json(ctx context.Context, s *sling.Sling, timeout time.Duration) (reply, error) {
+	_, body, err := c.do(ctx, s, timeout)
+	if err != nil {
+		return reply{}, err
+	}
+	var r reply
+	return r, errors.Wrap(json.Unmarshal(body, &r), "platform: response")
+}
+
+func (c *Client) do(ctx context.Context, s *sling.Sling, timeout time.Duration) (*http.Response, []byte, error) {
+	request, err := s.Request()
+	if err != nil {
+		return nil, nil, errors.Wrap(err, "platform: request")
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	response, err := c.http.Do(request.WithContext(ctx))
+	if err != nil {
+		return nil, nil, errors.Wrap(err, "platform")
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponse))
+	if err != nil {
+		return nil, nil, errors.Wrap(err, "platform: response")
+	}
+	return response, body, statusError(response.StatusCode)
+}
+
+func statusError(status int) error {
+	switch {
+	case status < 300:
+		return nil
+	case status == http.StatusNotFound:
+		return platform.ErrNotFound
+	case status == http.StatusConflict:
+		return platform.ErrConflict
+	case status == http.StatusGone:
+		return platform.ErrLeaseGone
+	case status == http.StatusRequestEntityTooLarge:
+		return platform.ErrTooLarge
+	case status == http.StatusServiceUnavailable:
+		return platform.ErrUnavailable
+	}
+	return errors.Errorf("platform: status %d", status)
+}
+
+func (e entryBody) entry() (platform.Entry, error) {
+	value, err := base64.StdEncoding.DecodeString(e.Value)
+	if err != nil {
+		return platform.Entry{}, errors.Wrapf(err, "platform: value of %s", e.Key)
+	}
+	return platform.Entry{Key: e.Key, Value: value, Revision: e.Revision}, nil
+}
+
+// escapeKey escapes each segment of a key, so that slashes stay.
+func escapeKey(key string) string {
+	segments := strings.Split(key, "/")
+	for i, s := range segments {
+		segments[i] = url.PathEscape(s)
+	}
+	return strings.Join(segments, "/")
+}
--- /dev/null
+++ b/node/problem/problem.go
@@ -0,0 +1,64 @@
+// Package problem writes the answers that the system makes itself, with a
+// problem body as in RFC 9457.
+package problem
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"fuchsiavane.org/node/call"
+)
+
+// ContentType is the media type of a problem body. Source: RFC 9457, section 3.
+const ContentType = "application/problem+json"
+
+// typePrefix begins the type URI of every problem.
+const typePrefix = "urn:fuchsiavane:problem:"
+
+type body struct {
+	Type    string       `json:"type"`
+	Title   string       `json:"title"`
+	Status  int          `json:"status"`
+	Detail  string       `json:"detail,omitempty"`
+	Outcome call.Outcome `json:"outcome"`
+}
+
+// titles has a line for each refusal.
+var titles = map[call.Refusal]string{
+	call.RefusedOverload:    "The service is overloaded",
+	call.RefusedDeadline:    "The deadline has passed or can't be met",
+	call.RefusedDraining:    "The instance is leaving",
+	call.RefusedNoUpstream:  "No upstream of the service is known",
+	call.RefusedUnreachable: "The upstream was lost",
+	call.RefusedRepeat:      "An earlier run of this key has an unknown end",
+	call.RefusedRetryRatio:  "The caller repeats too many requests",
+	call.RefusedQuarantined: "The request has crashed upstreams",
+	call.RefusedBadRequest:  "The request is malformed",
+	call.RefusedTooLarge:    "The request is too large",
+	call.RefusedCancelled:   "The caller gave the request up",
+}
+
+// Write answers a refused request.
+func Write(w http.ResponseWriter, a *call.Answer) {
+	h := w.Header()
+	h.Set(call.HeaderOutcome, string(a.Outcome))
+	h.Set("Content-Type", ContentType)
+	if a.RetryAfter > 0 {
+		h.Set("Retry-After", seconds(a.RetryAfter))
+	}
+	w.WriteHeader(a.Status)
+	_ = json.NewEncoder(w).Encode(body{
+		Type:    typePrefix + string(a.Refusal),
+		Title:   titles[a.Refusal],
+		Status:  a.Status,
+		Detail:  a.Detail,
+		Outcome: a.Outcome,
+	})
+}
+
+// seconds rounds up to whole seconds. Source: RFC 9110, section 10.2.3.
+func seconds(d time.Duration) string {
+	return strconv.FormatInt(int64((d+time.Second-1)/time.Second), 10)
+}
