Route by cost over a bounded subset, eject outliers, share the narrow link

Cause: the first picker knew only calls in flight, so a peer that accepts calls and never answers kept its part, connections grew with the fleet, and nothing bounded the bytes between regions.

Change: two random choices over a rendezvous subset of the nearest tier that isn't refusing, by calls in flight, latency, failures and refusals as seen here; ejection with a cap of half the peers; slow start; peers that refuse as leaving get nothing new at once. Each daemon takes an equal share of the capacity between regions and paces large answers by it.

--- a/core/route/route.go
+++ b/core/route/route.go
@@ -1,36 +1,31 @@
 // Package route chooses the peer that serves a call.
 //
 // A Picker prefers the own data centre, then the own region, then the other
-// regions, and within a tier takes the better of two random choices by the
-// calls that this daemon has in flight there. It is pure: randomness and time
-// come in as arguments. A Picker is safe for concurrent use.
+// regions. In a tier it uses a bounded subset of the peers, takes two at random
+// and calls the one that costs less: calls in flight, recent latency, failures
+// and refusals, all as this daemon itself has seen them. Peers that fail while
+// others don't are ejected for a while, up to a part of the service.
+//
+// The package is pure: randomness and time come in as arguments. A Picker is
+// safe for concurrent use.
 package route
 
 import (
-	"math/rand/v2"
 	"slices"
 	"strings"
 	"sync"
 	"time"
 )
 
-// Peer is one daemon that can serve a service.
-type Peer struct {
-	// ID is the instance id.
-	ID string
-	// Service, Region and DataCentre place the peer.
-	Service, Region, DataCentre string
-	// Addr is the host:port of its peer port.
-	Addr string
-	// Leaving peers get no new calls.
-	Leaving bool
-	// Since is when this daemon first saw the peer.
-	Since time.Time
-}
-
 // Place is where the picking daemon stands.
 type Place struct {
-	Region, DataCentre string
+	Instance, Region, DataCentre string
+}
+
+// Random is a source of randomness; *rand.Rand of math/rand/v2 is one.
+type Random interface {
+	// IntN returns a number in [0, n).
+	IntN(n int) int
 }
 
 // Picker chooses peers.
@@ -38,24 +33,58 @@
 	place Place
 
 	mu       sync.Mutex
-	services map[string][]Peer
-	inFlight map[string]int
+	services map[string]*service
+	scratch  []*peerState
 }
 
 // NewPicker returns a Picker for a daemon at a place.
 func NewPicker(place Place) *Picker {
-	return &Picker{place: place, services: map[string][]Peer{}, inFlight: map[string]int{}}
+	return &Picker{place: place, services: map[string]*service{}}
 }
 
-// Update replaces the known peers.
-func (p *Picker) Update(peers []Peer) {
-	services := map[string][]Peer{}
-	for _, peer := range peers {
-		services[peer.Service] = append(services[peer.Service], peer)
-	}
+// Update replaces the known peers. What was seen of peers that stay is kept.
+func (p *Picker) Update(now time.Time, peers []Peer) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.services = services
+	old := p.services
+	p.services = make(map[string]*service, len(old))
+	for _, peer := range peers {
+		p.put(now, peer, old[peer.Service])
+	}
+	for _, s := range p.services {
+		s.reorder(p.place)
+	}
+}
+
+// put adds a peer, with its state if it was known before.
+func (p *Picker) put(now time.Time, peer Peer, old *service) {
+	s := p.services[peer.Service]
+	if s == nil {
+		s = &service{peers: map[string]*peerState{}}
+		if old != nil {
+			s.inFlight = old.inFlight
+		}
+		p.services[peer.Service] = s
+	}
+	state := &peerState{since: now}
+	if old != nil {
+		if known := old.peers[peer.ID]; known != nil && known.Addr == peer.Addr {
+			state = known
+		}
+	}
+	state.Peer = peer
+	state.tier = p.tier(peer)
+	s.peers[peer.ID] = state
+}
+
+func (p *Picker) tier(peer Peer) tier {
+	switch {
+	case peer.Region != p.place.Region:
+		return tierFar
+	case peer.DataCentre != p.place.DataCentre:
+		return tierRegion
+	}
+	return tierDataCentre
 }
 
 // Query asks for a peer.
@@ -63,72 +92,131 @@
 	Service string
 	// Tried lists ids that this call already used, to be avoided.
 	Tried []string
-	// CrossRegion allows peers of other regions.
-	CrossRegion bool
+	// Far allows peers of other regions.
+	Far bool
+	// SlowStart is the time over which a new peer's share of work rises.
+	SlowStart time.Duration
+}
+
+// Choice is a picked peer.
+type Choice struct {
+	Peer
+	// Far is set for a peer of another region.
+	Far bool
 }
 
 // Pick chooses a peer and counts the call as in flight there until Done. It
 // reports whether there was any.
-func (p *Picker) Pick(q Query, random *rand.Rand) (Peer, bool) {
+func (p *Picker) Pick(now time.Time, q Query, random Random) (Choice, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	best := p.nearest(q)
-	if len(best) == 0 {
-		return Peer{}, false
+	s := p.services[q.Service]
+	if s == nil {
+		return Choice{}, false
 	}
-	a, b := best[random.IntN(len(best))], best[random.IntN(len(best))]
-	if p.inFlight[b.ID] < p.inFlight[a.ID] {
-		a = b
+	p.scratch = s.candidates(now, q, p.scratch)
+	peer := cheaper(now, q.SlowStart, p.scratch, random)
+	if peer == nil {
+		return Choice{}, false
 	}
-	p.inFlight[a.ID]++
-	return a, true
+	p.begin(s, peer)
+	return Choice{peer.Peer, peer.tier == tierFar}, true
+}
+
+// Take counts a call to a peer that was chosen by other means. It reports
+// whether the peer is known and may get new calls.
+func (p *Picker) Take(now time.Time, serviceName, id string) (Choice, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.services[serviceName]
+	if s == nil || s.peers[id] == nil || s.peers[id].Leaving || now.Before(s.peers[id].leavingUntil) {
+		return Choice{}, false
+	}
+	peer := s.peers[id]
+	p.begin(s, peer)
+	return Choice{peer.Peer, peer.tier == tierFar}, true
+}
+
+func (p *Picker) begin(s *service, peer *peerState) {
+	peer.inFlight++
+	s.inFlight++
+}
+
+// cheaper returns the better of two random candidates, or nil if there is none.
+func cheaper(now time.Time, slowStart time.Duration, from []*peerState, random Random) *peerState {
+	switch len(from) {
+	case 0:
+		return nil
+	case 1:
+		return from[0]
+	}
+	i := random.IntN(len(from))
+	j := random.IntN(len(from) - 1)
+	if j >= i {
+		j++
+	}
+	a, b := from[i], from[j]
+	if b.cost(now, slowStart, a) < a.cost(now, slowStart, b) {
+		return b
+	}
+	return a
 }
 
 // Result is what became of a call to a peer.
 type Result struct {
+	// Latency is the time to the head of the answer.
 	Latency time.Duration
-	// Failed is set when no answer came.
+	// Failed is set when the peer gave no answer in time.
 	Failed bool
 	// Refused is set when the peer did not run the call.
 	Refused bool
+	// Leaving is set when the peer refused because it is leaving.
+	Leaving bool
 }
 
-// Done ends a call that Pick counted.
-func (p *Picker) Done(_ time.Time, id string, _ Result) {
+// Done ends a call that Pick or Take counted.
+func (p *Picker) Done(now time.Time, serviceName, id string, r Result) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.inFlight[id]--
-	if p.inFlight[id] <= 0 {
-		delete(p.inFlight, id)
+	s := p.services[serviceName]
+	if s == nil {
+		return
 	}
-}
-
-// nearest returns the usable peers of the nearest tier that has any.
-func (p *Picker) nearest(q Query) []Peer {
-	var tiers [3][]Peer
-	for _, peer := range p.services[q.Service] {
-		if peer.Leaving || slices.Contains(q.Tried, peer.ID) {
-			continue
-		}
-		tier := p.tier(peer)
-		tiers[tier] = append(tiers[tier], peer)
+	s.inFlight = max(s.inFlight-1, 0)
+	peer := s.peers[id]
+	if peer == nil {
+		return
 	}
-	for tier, peers := range tiers {
-		if len(peers) > 0 && (tier < 2 || q.CrossRegion) {
-			return peers
-		}
+	peer.inFlight = max(peer.inFlight-1, 0)
+	peer.note(now, r)
+	if r.Failed {
+		s.consider(now, peer)
 	}
-	return nil
 }
 
-func (p *Picker) tier(peer Peer) int {
+// leastWeight is the least weight of one outcome or latency sample.
+const leastWeight = 0.05
+
+// note takes the outcome of one call into the peer's averages.
+func (s *peerState) note(now time.Time, r Result) {
+	s.failures.add(now, outcomeWindow, unit(r.Failed), leastWeight)
+	s.refusals.add(now, outcomeWindow, unit(r.Refused), leastWeight)
 	switch {
-	case peer.DataCentre == p.place.DataCentre:
-		return 0
-	case peer.Region == p.place.Region:
+	case r.Leaving:
+		s.leavingUntil = now.Add(drainingHold)
+	case r.Failed:
+		s.ejection.inRow++
+	case !r.Refused:
+		s.ejection.answered()
+		s.latency.add(now, latencyWindow, r.Latency.Seconds(), leastWeight)
+	}
+}
+
+func unit(set bool) float64 {
+	if set {
 		return 1
 	}
-	return 2
+	return 0
 }
 
 // Peers returns the known peers, sorted by id.
@@ -136,9 +224,43 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var peers []Peer
-	for _, of := range p.services {
-		peers = append(peers, of...)
+	for _, s := range p.services {
+		for _, peer := range s.peers {
+			peers = append(peers, peer.Peer)
+		}
 	}
 	slices.SortFunc(peers, func(a, b Peer) int { return strings.Compare(a.ID, b.ID) })
 	return peers
 }
+
+// Ejected returns the ids of the ejected peers, sorted.
+func (p *Picker) Ejected(now time.Time) []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var ids []string
+	for _, s := range p.services {
+		for _, peer := range s.peers {
+			if peer.ejection.active(now) {
+				ids = append(ids, peer.ID)
+			}
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// InRegion returns the number of known peers in the own region, this daemon
+// included; at least 1.
+func (p *Picker) InRegion() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := 0
+	for _, s := range p.services {
+		for _, peer := range s.peers {
+			if peer.Region == p.place.Region {
+				n++
+			}
+		}
+	}
+	return max(n, 1)
+}
--- a/core/settings/keys.go
+++ b/core/settings/keys.go
@@ -109,6 +109,17 @@
 		},
 		func(v *Values) any { return v.CrossRegion },
 	},
+	{
+		"region_link_mbit", "Mbit/s", "Capacity of the link between regions, each way, shared by the daemons of a region.",
+		func(c *checker, n *node) override {
+			mbit, ok := c.number(n, 0, 1e6)
+			if !ok {
+				return nil
+			}
+			return func(v *Values) { v.RegionLink = mbit * BytesPerMegabit }
+		},
+		func(v *Values) any { return v.RegionLink / BytesPerMegabit },
+	},
 	{
 		"hours", "list of windows", "Daily windows in which the shares of ranks differ.",
 		func(c *checker, n *node) override {
--- a/core/settings/values.go
+++ b/core/settings/values.go
@@ -74,6 +74,9 @@
 	Queue time.Duration
 	// CrossRegion says whether a call may leave its region.
 	CrossRegion CrossRegion
+	// RegionLink is the capacity of the link between regions, each way, in bytes
+	// per second; the daemons of a region share it.
+	RegionLink float64
 	// Hours are the windows in which shares differ.
 	Hours []Window
 	// SlowStart is the time over which a new upstream's share of work rises.
@@ -95,6 +98,9 @@
 	return false
 }
 
+// BytesPerMegabit converts Mbit/s to bytes per second.
+const BytesPerMegabit = 1e6 / 8
+
 // Defaults returns the values that hold where no level says otherwise.
 func Defaults() Values {
 	return Values{
@@ -105,6 +111,7 @@
 		Connections: 400,
 		Queue:       50 * time.Millisecond,
 		CrossRegion: CrossRegionSpill,
+		RegionLink:  30 * BytesPerMegabit,
 		SlowStart:   10 * time.Second,
 		Drain:       30 * time.Second,
 	}
--- a/node/daemon/daemon.go
+++ b/node/daemon/daemon.go
@@ -43,6 +43,7 @@
 	gate     *upstream.Gate
 	runner   *upstream.Runner
 	gateway  *gateway.Gateway
+	far      *gateway.FarLink
 	metrics  *metrics.Metrics
 	ports    *ports
 
@@ -60,7 +61,8 @@
 		config:   c,
 		log:      log,
 		settings: settingsync.NewHolder(),
-		picker:   route.NewPicker(route.Place{Region: c.Region, DataCentre: c.DataCentre}),
+		picker:   route.NewPicker(route.Place{Instance: c.InstanceID, Region: c.Region, DataCentre: c.DataCentre}),
+		far:      gateway.NewFarLink(time.Now()),
 		metrics:  metrics.New(),
 		draining: make(chan struct{}),
 	}
@@ -72,7 +74,7 @@
 	d.pool = link.NewPool(identity, log)
 	d.listener = link.NewListener(identity, d.runner, log)
 	d.gateway = gateway.New(gateway.Config{
-		Instance: c.InstanceID, Settings: d.settings, Picker: d.picker, Transport: d.pool,
+		Instance: c.InstanceID, Settings: d.settings, Picker: d.picker, Far: d.far, Transport: d.pool,
 		Own: d.runner, Runs: table, Observer: d.metrics, Log: log,
 	})
 	self := route.Peer{ID: c.InstanceID, Service: c.Service, Region: c.Region, DataCentre: c.DataCentre, Addr: c.PeerListen}
@@ -98,6 +100,7 @@
 	group.Go(func() { d.syncer.Run(duties) })
 	group.Go(func() { d.found.Run(duties) })
 	group.Go(func() { d.tick(duties) })
+	group.Go(func() { d.shareLink(duties) })
 	failed := d.ports.serve()
 	d.log.Log(event.DaemonStarted).Str("service", d.config.Service).Str("peer_listen", d.config.PeerListen).Msg("daemon started")
 	select {
--- a/node/discovery/discovery.go
+++ b/node/discovery/discovery.go
@@ -36,7 +36,7 @@
 
 // New returns a Discovery for the own entry.
 func New(self route.Peer, store platform.Store, picker *route.Picker, log *event.Logger) *Discovery {
-	picker.Update([]route.Peer{self})
+	picker.Update(time.Now(), []route.Peer{self})
 	return &Discovery{self: self, store: store, picker: picker, log: log, count: 1}
 }
 
@@ -120,5 +120,5 @@
 		d.count = len(peers)
 		d.log.Log(event.PeersChanged).Int("peers", len(peers)).Msg("peers changed")
 	}
-	d.picker.Update(peers)
+	d.picker.Update(time.Now(), peers)
 }
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"github.com/google/uuid"
@@ -33,9 +32,11 @@
 // Config is what a Gateway is made of.
 type Config struct {
 	// Instance is the own instance id; calls to it skip the link.
-	Instance  string
-	Settings  *settingsync.Holder
-	Picker    *route.Picker
+	Instance string
+	Settings *settingsync.Holder
+	Picker   *route.Picker
+	// Far is the share of the link between regions.
+	Far       *FarLink
 	Transport Transport
 	// Own runs requests at the own upstream.
 	Own      call.Server
@@ -86,25 +87,23 @@
 // attempt sends the request to one peer. The peer's id is empty if there is
 // none to try.
 func (g *Gateway) attempt(ctx context.Context, r *call.Request, values *settings.Values, budget *retry.Budget, tried []string) (*call.Answer, string) {
-	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	query := route.Query{Service: r.Service, Tried: tried, CrossRegion: values.CrossRegion == settings.CrossRegionSpill}
-	peer, ok := g.Picker.Pick(query, random)
+	began := time.Now()
+	peer, ok := g.pick(began, r, values, tried)
 	if !ok {
-		a := call.Refuse(call.NotRun, call.RefusedNoUpstream, "no upstream of service "+r.Service+" can be used")
-		a.RetryAfter = time.Second
-		return a, ""
+		return g.noPeer(r), ""
 	}
-	began := time.Now()
 	attempt := *r
 	attempt.Run = uuid.NewString()
 	attempt.Retries = budget.Lend()
-	answer := g.send(ctx, &attempt, peer, values)
+	if peer.Far {
+		g.Far.charge(&attempt)
+	}
+	answer := g.send(ctx, &attempt, peer.Peer, values)
 	budget.Return(attempt.Retries, answer.Unspent)
-	g.Picker.Done(time.Now(), peer.ID, route.Result{
-		Latency: time.Since(began),
-		Failed:  answer.Refusal == call.RefusedUnreachable,
-		Refused: answer.Outcome == call.NotRun,
-	})
+	g.Picker.Done(time.Now(), r.Service, peer.ID, resultOf(answer, time.Since(began)))
+	if peer.Far {
+		answer.Body = g.Far.pace(ctx, answer.Body)
+	}
 	return answer, peer.ID
 }
 
@@ -121,11 +120,10 @@
 
 // class puts the least urgent of several ranks on links of its own.
 func (g *Gateway) class(rank string) link.Class {
-	ranks := g.Settings.Current().Document.Ranks()
-	if len(ranks) > 1 && ranks[len(ranks)-1].Name == rank {
-		return link.ClassBulk
+	if g.urgent(rank) {
+		return link.ClassUrgent
 	}
-	return link.ClassUrgent
+	return link.ClassBulk
 }
 
 // lost makes the answer to an attempt that got none.
