--- a/node/admin/admin.go
+++ b/node/admin/admin.go
@@ -28,7 +28,12 @@
 	SettingsRevision uint64 `json:"settings_revision"`
 	Running          int    `json:"running"`
 	Queued           int    `json:"queued"`
-	Peers            []Peer `json:"peers"`
+	// RegionLinkShare is the own share of the link between regions, in bytes per
+	// second each way.
+	RegionLinkShare float64 `json:"region_link_share"`
+	// Ejected lists the peers that get no calls because they fail.
+	Ejected []string `json:"ejected,omitempty"`
+	Peers   []Peer   `json:"peers"`
 }
 
 // Daemon is what the port shows and drives.
--- a/node/daemon/daemon.go
+++ b/node/daemon/daemon.go
@@ -192,6 +192,7 @@
 		Version: Version, Instance: d.config.InstanceID, Service: d.config.Service,
 		Region: d.config.Region, DataCentre: d.config.DataCentre, Life: life,
 		SettingsRevision: d.settings.Current().Revision, Running: running, Queued: queued,
+		RegionLinkShare: d.far.Rate(), Ejected: d.picker.Ejected(time.Now()),
 	}
 	for _, p := range d.picker.Peers() {
 		state := "serving"
--- a/node/gateway/farlink.go
+++ b/node/gateway/farlink.go
@@ -37,6 +37,9 @@
 	f.in.Share(now, linkBytes, daemons)
 }
 
+// Rate returns the share in bytes per second each way.
+func (f *FarLink) Rate() float64 { return f.in.Rate() }
+
 // allow reports whether a new call may go over the link.
 func (f *FarLink) allow(now time.Time, urgent bool) bool {
 	return f.out.Allow(now, urgent) && f.in.Allow(now, urgent)
