Measure the added latency; send each request to the upstream once

Cause: the request path had no measurement, the daemon used every processor of its instance, and net/http by itself sent a GET, and any request without a body that has an Idempotency-Key, a second time when a kept connection broke: a second run of a ruling that no budget and no owner saw.

The request's body is never nil and can't be read again, so the transport sends it once; idle upstream connections close after 4 s, before common upstreams close them.

--- /dev/null
+++ b/lab/bench/bench.go
@@ -0,0 +1,146 @@
+// Package bench measures what the request path through two daemons adds to a
+// call, against the same call made directly to the upstream.
+//
+// The store stand-in, the upstream stand-in and both daemons are processes of
+// their own, built from this tree; the callers are goroutines of this process.
+package bench
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+)
+
+// Config is the load of a measurement.
+type Config struct {
+	// Callers is the number of callers; each makes one call every Interval.
+	Callers  int
+	Interval time.Duration
+	// Length is the time of the steady load.
+	Length time.Duration
+	// Saturation is the time of the saturating load; SaturationCallers call in
+	// a loop without pause.
+	Saturation        time.Duration
+	SaturationCallers int
+	// RequestBytes and AnswerBytes are the sizes of the bodies.
+	RequestBytes, AnswerBytes int
+	// Seed orders direct calls and calls through the daemons.
+	Seed uint64
+	// DaemonEnv is added to the environment of the daemons, as in "GOGC=100".
+	DaemonEnv []string
+}
+
+// DefaultConfig is the steady moderate load of the target.
+func DefaultConfig() Config {
+	return Config{
+		Callers:           8,
+		Interval:          3 * time.Millisecond,
+		Length:            12 * time.Second,
+		Saturation:        4 * time.Second,
+		SaturationCallers: 64,
+		RequestBytes:      512,
+		AnswerBytes:       1024,
+		Seed:              1,
+	}
+}
+
+// Result is one measurement.
+type Result struct {
+	Direct, Through Latencies
+	Errors          int
+	// AllocationsPerCall is heap allocations of both daemons per call.
+	AllocationsPerCall float64
+	// CPUPerCall is the processor time of both daemons per call.
+	CPUPerCall time.Duration
+	// SaturatedRate is calls per second at saturation.
+	SaturatedRate float64
+	// SaturatedCallsPerCore is calls per second of daemon processor time at
+	// saturation, for both daemons together.
+	SaturatedCallsPerCore float64
+	// RestBytes and LoadedBytes are the larger resident size of the two
+	// daemons, before any call and after the saturating load.
+	RestBytes, LoadedBytes float64
+}
+
+// warmTime is the length of the load before the measurement.
+const warmTime = time.Second
+
+// Run starts the processes, measures and stops them.
+func Run(ctx context.Context, c Config, log io.Writer) (*Result, error) {
+	s, err := start(ctx, c.DaemonEnv, log)
+	if err != nil {
+		return nil, err
+	}
+	defer s.stop()
+	result := &Result{}
+	rest, err := s.usage()
+	if err != nil {
+		return nil, err
+	}
+	result.RestBytes = rest.resident
+	l := newLoad(c, s)
+	l.steady(ctx, warmTime)
+	if err := result.measureSteady(ctx, c, s, l); err != nil {
+		return nil, err
+	}
+	return result, result.measureSaturated(ctx, c, s, l)
+}
+
+func (r *Result) measureSteady(ctx context.Context, c Config, s *system, l *load) error {
+	before, err := s.usage()
+	if err != nil {
+		return err
+	}
+	samples := l.steady(ctx, c.Length)
+	after, err := s.usage()
+	if err != nil {
+		return err
+	}
+	r.Direct, r.Through, r.Errors = samples.direct, samples.through, samples.errors
+	calls := float64(max(len(r.Through), 1))
+	r.AllocationsPerCall = (after.mallocs - before.mallocs) / calls
+	r.CPUPerCall = time.Duration((after.cpu - before.cpu) / calls * float64(time.Second))
+	return nil
+}
+
+func (r *Result) measureSaturated(ctx context.Context, c Config, s *system, l *load) error {
+	before, err := s.usage()
+	if err != nil {
+		return err
+	}
+	calls, failures := l.saturate(ctx, c.Saturation)
+	after, err := s.usage()
+	if err != nil {
+		return err
+	}
+	r.Errors += failures
+	r.SaturatedRate = float64(calls) / c.Saturation.Seconds()
+	r.SaturatedCallsPerCore = float64(calls) / (after.cpu - before.cpu)
+	r.LoadedBytes = after.resident
+	return nil
+}
+
+// Print writes the figures as a table.
+func (r *Result) Print(w io.Writer) {
+	const mega = 1 << 20
+	row := func(name string, q func(Latencies) time.Duration) {
+		d, t := q(r.Direct), q(r.Through)
+		fmt.Fprintf(w, "| %s | %.3f | %.3f | %.3f |\n", name, milliseconds(d), milliseconds(t), milliseconds(t-d))
+	}
+	fmt.Fprintln(w, "| | direct, ms | through two daemons, ms | added, ms |")
+	fmt.Fprintln(w, "|---|---|---|---|")
+	row("p50", func(l Latencies) time.Duration { return l.Quantile(0.50) })
+	row("p90", func(l Latencies) time.Duration { return l.Quantile(0.90) })
+	row("p99", func(l Latencies) time.Duration { return l.Quantile(0.99) })
+	row("p99.9", func(l Latencies) time.Duration { return l.Quantile(0.999) })
+	fmt.Fprintf(w, "\ncalls: %d direct, %d through, %d errors\n", len(r.Direct), len(r.Through), r.Errors)
+	fmt.Fprintf(w, "both daemons per call at the steady load: %.0f allocations, %d µs of processor time\n",
+		r.AllocationsPerCall, r.CPUPerCall.Microseconds())
+	fmt.Fprintf(w, "at saturation: %.0f calls/s, %.0f calls/s per core of the two daemons\n",
+		r.SaturatedRate, r.SaturatedCallsPerCore)
+	fmt.Fprintf(w, "resident memory of the larger daemon: %.1f MB at rest, %.1f MB after saturation\n",
+		r.RestBytes/mega, r.LoadedBytes/mega)
+}
+
+func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- /dev/null
+++ b/lab/bench/system.go
@@ -0,0 +1,206 @@
+package bench
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	// entryService and upstreamService are the services of the two daemons.
+	entryService    = "entry"
+	upstreamService = "bench"
+	// startTimeout bounds the start of the processes.
+	startTimeout = 20 * time.Second
+	// restTime is the pause before memory at rest is read.
+	restTime = 2 * time.Second
+)
+
+// programs are the packages that the measurement runs.
+var programs = []string{
+	"fuchsiavane.org/node/cmd/fuchsiavaned",
+	"fuchsiavane.org/lab/cmd/platform",
+	"fuchsiavane.org/lab/cmd/upstream",
+}
+
+// system is the processes of a measurement.
+type system struct {
+	dir       string
+	daemonEnv []string
+	log       io.Writer
+	processes []*exec.Cmd
+	entry     string // base URL of the entry daemon's caller port
+	upstream  string // base URL of the upstream
+	admins    []string
+}
+
+// start builds and starts the processes and waits until the entry daemon calls.
+func start(ctx context.Context, daemonEnv []string, log io.Writer) (*system, error) {
+	dir, err := os.MkdirTemp("", "fuchsiavane-bench")
+	if err != nil {
+		return nil, errors.Wrap(err, "bench")
+	}
+	s := &system{dir: dir, daemonEnv: daemonEnv, log: log}
+	if err := s.launch(ctx); err != nil {
+		s.stop()
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *system) launch(ctx context.Context) error {
+	build := exec.CommandContext(ctx, "go", append([]string{"build", "-o", s.dir + "/"}, programs...)...)
+	build.Stderr = s.log
+	if err := build.Run(); err != nil {
+		return errors.Wrap(err, "build")
+	}
+	addrs, err := freeAddrs(10)
+	if err != nil {
+		return err
+	}
+	platform, upstream := addrs[0], addrs[1]
+	s.upstream = "http://" + upstream
+	s.entry = "http://" + addrs[2]
+	if err := s.process("platform", nil, "-listen", platform); err != nil {
+		return err
+	}
+	if err := s.process("upstream", nil, "-listen", upstream); err != nil {
+		return err
+	}
+	if err := s.daemon(entryService, "http://"+platform, addrs[2:6]); err != nil {
+		return err
+	}
+	if err := s.daemon(upstreamService, "http://"+platform, addrs[6:10]); err != nil {
+		return err
+	}
+	return s.ready(ctx)
+}
+
+func (s *system) daemon(service, platform string, addrs []string) error {
+	s.admins = append(s.admins, "http://"+addrs[3])
+	return s.process("fuchsiavaned", s.daemonEnv, "-instance-id", service+"-0", "-service", service,
+		"-region", "south", "-data-centre", "south-1", "-log-level", "warn",
+		"-caller-listen", addrs[0], "-local-listen", addrs[1], "-peer-listen", addrs[2], "-admin-listen", addrs[3],
+		"-upstream", s.upstream, "-platform", platform)
+}
+
+func (s *system) process(program string, env []string, args ...string) error {
+	cmd := exec.Command(filepath.Join(s.dir, program), args...)
+	cmd.Env = append(os.Environ(), env...)
+	cmd.Stdout, cmd.Stderr = s.log, s.log
+	if err := cmd.Start(); err != nil {
+		return errors.Wrap(err, program)
+	}
+	s.processes = append(s.processes, cmd)
+	return nil
+}
+
+// ready waits until both daemons know each other. No call is made, so that
+// memory at rest can be read.
+func (s *system) ready(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	for !s.knowEachOther() {
+		select {
+		case <-ctx.Done():
+			return errors.Errorf("the daemons did not find each other within %v", startTimeout)
+		case <-time.After(50 * time.Millisecond):
+		}
+	}
+	time.Sleep(restTime)
+	return nil
+}
+
+func (s *system) knowEachOther() bool {
+	for _, admin := range s.admins {
+		status, err := fetch(admin + "/status")
+		if err != nil || !strings.Contains(status, upstreamService+"-0") || !strings.Contains(status, entryService+"-0") {
+			return false
+		}
+	}
+	return true
+}
+
+// stop ends the processes.
+func (s *system) stop() {
+	for _, cmd := range slices.Backward(s.processes) {
+		_ = cmd.Process.Kill()
+		_ = cmd.Wait()
+	}
+	_ = os.RemoveAll(s.dir)
+}
+
+// usage is what the two daemons have used since they started.
+type usage struct {
+	cpu      float64 // seconds
+	mallocs  float64
+	resident float64 // bytes of the larger daemon
+}
+
+func (s *system) usage() (usage, error) {
+	var total usage
+	for _, admin := range s.admins {
+		text, err := fetch(admin + "/metrics")
+		if err != nil {
+			return usage{}, err
+		}
+		total.cpu += value(text, "process_cpu_seconds_total")
+		total.mallocs += value(text, "go_memstats_mallocs_total")
+		total.resident = max(total.resident, value(text, "process_resident_memory_bytes"))
+	}
+	return total, nil
+}
+
+// value returns the value of a metric without labels, 0 if it is missing.
+func value(text, name string) float64 {
+	lines := bufio.NewScanner(strings.NewReader(text))
+	for lines.Scan() {
+		if rest, ok := strings.CutPrefix(lines.Text(), name+" "); ok {
+			v, _ := strconv.ParseFloat(rest, 64)
+			return v
+		}
+	}
+	return 0
+}
+
+func fetch(url string) (string, error) {
+	response, err := http.Get(url)
+	if err != nil {
+		return "", errors.Wrap(err, "bench")
+	}
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	if err != nil {
+		return "", errors.Wrap(err, "bench")
+	}
+	if response.StatusCode != http.StatusOK {
+		return "", fmt.Errorf("%s: status %d", url, response.StatusCode)
+	}
+	return string(text), nil
+}
+
+// freeAddrs returns loopback addresses that were free a moment ago.
+func freeAddrs(n int) ([]string, error) {
+	addrs := make([]string, n)
+	for i := range addrs {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, errors.Wrap(err, "bench")
+		}
+		defer l.Close()
+		addrs[i] = l.Addr().String()
+	}
+	return addrs, nil
+}
--- a/node/cmd/fuchsiavaned/main.go
+++ b/node/cmd/fuchsiavaned/main.go
@@ -34,6 +34,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitUsage
 	}
+	daemon.TuneRuntime()
 	level, _ := config.ParseLevel(c.LogLevel) // config.Parse has checked it
 	store, err := client.New(c.Platform)
 	if err != nil {
--- a/node/upstream/upstream.go
+++ b/node/upstream/upstream.go
@@ -6,6 +6,7 @@
 	"bytes"
 	"context"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -24,13 +25,17 @@
 // connectTimeout bounds the opening of a connection to the upstream.
 const connectTimeout = time.Second
 
+// idleTimeout closes an idle connection before common upstreams do it, since a
+// request that meets a closing connection has an unknown outcome.
+const idleTimeout = 4 * time.Second
+
 // Runner runs requests at the upstream. It is safe for concurrent use.
 type Runner struct {
-	base    *url.URL
-	client  *http.Client
-	gate    *Gate
-	table   *runs.Table
-	leaving atomic.Bool
+	base      *url.URL
+	transport *http.Transport
+	gate      *Gate
+	table     *runs.Table
+	leaving   atomic.Bool
 }
 
 var _ call.Server = (*Runner)(nil)
@@ -40,16 +45,10 @@
 	transport := &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: connectTimeout}).DialContext,
 		MaxIdleConnsPerHost: 256,
-		IdleConnTimeout:     90 * time.Second,
+		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
 	}
-	noRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
-	return &Runner{
-		base:   base,
-		client: &http.Client{Transport: transport, CheckRedirect: noRedirect},
-		gate:   gate,
-		table:  table,
-	}
+	return &Runner{base: base, transport: transport, gate: gate, table: table}
 }
 
 // Leave makes the Runner refuse new requests; those in progress go on.
@@ -77,7 +76,7 @@
 }
 
 func (u *Runner) run(ctx context.Context, r *call.Request, pass *Pass) *call.Answer {
-	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
+	ctx, cancel := until(ctx, r.Deadline)
 	run := &runs.Run{
 		ID: r.Run, RequestID: r.ID, Caller: r.Caller, Rank: r.Rank, Deadline: r.Deadline,
 		Budget: retry.NewBudget(r.Retries), Context: ctx,
@@ -92,7 +91,7 @@
 		u.table.End(run.ID)
 		pass.Leave(overloaded)
 	}
-	response, sent, err := u.forward(ctx, r, run)
+	response, sent, err := u.forward(ctx, r)
 	if err != nil {
 		end(errors.Is(err, context.DeadlineExceeded))
 		return u.failure(r, run, sent, err)
@@ -100,9 +99,18 @@
 	return u.answer(run, response, end)
 }
 
+// until returns a context that ends at the deadline. It sets no second timer if
+// the parent ends by then anyway.
+func until(ctx context.Context, deadline time.Time) (context.Context, context.CancelFunc) {
+	if end, ok := ctx.Deadline(); ok && !end.After(deadline) {
+		return context.WithCancel(ctx)
+	}
+	return context.WithDeadline(ctx, deadline)
+}
+
 // forward sends the request to the upstream. sent reports whether a byte of it
 // may have been given to the upstream.
-func (u *Runner) forward(ctx context.Context, r *call.Request, run *runs.Run) (response *http.Response, sent bool, err error) {
+func (u *Runner) forward(ctx context.Context, r *call.Request) (response *http.Response, sent bool, err error) {
 	target, err := u.base.Parse(r.Target)
 	if err != nil {
 		return nil, false, errors.Wrap(err, "target")
@@ -110,24 +118,38 @@
 	var connected atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
 	ctx = httptrace.WithClientTrace(ctx, trace)
-	request, err := http.NewRequestWithContext(ctx, r.Method, target.String(), bytes.NewReader(r.Body))
-	if err != nil {
-		return nil, false, errors.Wrap(err, "request")
+	response, err = u.transport.RoundTrip(newRequest(ctx, r, target))
+	return response, connected.Load(), err
+}
+
+// identity keeps the transport from sending an empty body in chunks.
+var identity = []string{"identity"}
+
+// newRequest makes the request for the upstream. Its body is never nil and has
+// no GetBody: the transport would otherwise send a GET, and any request with an
+// Idempotency-Key, a second time by itself when a kept connection breaks.
+func newRequest(ctx context.Context, r *call.Request, target *url.URL) *http.Request {
+	request := &http.Request{
+		Method:        r.Method,
+		URL:           target,
+		Host:          r.Service,
+		Header:        maps.Clone(r.Header), // the values are only replaced
+		Proto:         "HTTP/1.1",
+		ProtoMajor:    1,
+		ProtoMinor:    1,
+		Body:          io.NopCloser(bytes.NewReader(r.Body)),
+		ContentLength: int64(len(r.Body)),
+	}
+	if len(r.Body) == 0 {
+		request.TransferEncoding = identity
 	}
-	request.Header = r.Header.Clone()
-	request.Host = r.Service
 	request.Header.Set(callctx.Header, callctx.Context{
-		RequestID: r.ID, Run: run.ID, Rank: r.Rank, Caller: r.Caller, Deadline: r.Deadline,
+		RequestID: r.ID, Run: r.Run, Rank: r.Rank, Caller: r.Caller, Deadline: r.Deadline,
 	}.Encode())
 	if r.Key != "" {
 		request.Header.Set(call.HeaderKey, r.Key)
 	}
-	if !r.Idempotent {
-		// Without GetBody the transport can't send the request a second time.
-		request.GetBody = nil
-	}
-	response, err = u.client.Do(request)
-	return response, connected.Load(), err
+	return request.WithContext(ctx)
 }
 
 func (u *Runner) failure(r *call.Request, run *runs.Run, sent bool, err error) *call.Answer {
