Settings tree: every broken rule is a finding, values are worked out at parse time

Cause: shares within windows of hours, queue times beyond the timeout, settings at levels where they have no effect, ranks that could never hold and trailing text after the document were accepted silently; a document of up to 1 MB was accepted although the store holds it in base64; Effective named the wrong level when a level repeats the value above it; each request resolved the whole tree. The context header could outgrow its own bound when names were escaped.

Conclusion: the request path pays a lookup; the cost of parsing whole documents at fleet size is the part to bring down, by edits that carry only what changed.

--- a/core/callctx/callctx.go
+++ b/core/callctx/callctx.go
@@ -18,8 +18,13 @@
 // Header is the name of the HTTP header.
 const Header = "Fuchsiavane-Context"
 
-// MaxBytes bounds an encoded context.
-const MaxBytes = 512
+const (
+	// MaxNameBytes bounds the names of ranks and callers.
+	MaxNameBytes = 128
+	// MaxBytes bounds an encoded context. One whose names are within their
+	// bound fits, be every byte of them escaped.
+	MaxBytes = 1 << 10
+)
 
 const version = "1"
 
--- a/core/settings/check.go
+++ b/core/settings/check.go
@@ -3,7 +3,8 @@
 import (
 	"fmt"
 	"strings"
-	"time"
+
+	"fuchsiavane.org/core/jsontree"
 )
 
 // Finding is one fault of a document with its place.
@@ -37,198 +38,131 @@
 	return strings.Join(lines, "\n")
 }
 
+// place is where a value stands in a document.
+type place struct {
+	pointer string
+	line    int
+}
+
+func placeOf(n *jsontree.Node) place { return place{n.Pointer, n.Line} }
+
 // rankUse is a mention of a rank that must be defined.
 type rankUse struct {
-	at   *node
+	at   place
 	name string
 }
 
+// windowList is one value of "hours".
+type windowList struct {
+	places  []place
+	windows []Window
+}
+
 // checker collects findings while a document is read.
 type checker struct {
 	findings Findings
 	uses     []rankUse
+	hours    []windowList
 }
 
-func (c *checker) add(n *node, format string, args ...any) {
-	c.findings = append(c.findings, Finding{n.pointer, n.line, fmt.Sprintf(format, args...)})
+func (c *checker) add(n *jsontree.Node, format string, args ...any) {
+	c.addAt(placeOf(n), format, args...)
 }
 
-func (c *checker) useRank(n *node, name string) {
-	c.uses = append(c.uses, rankUse{n, name})
+func (c *checker) addAt(at place, format string, args ...any) {
+	c.findings = append(c.findings, Finding{at.pointer, at.line, fmt.Sprintf(format, args...)})
 }
 
-func (c *checker) want(n *node, k kind) bool {
-	if n.kind == k {
+func (c *checker) useRank(n *jsontree.Node, name string) {
+	c.uses = append(c.uses, rankUse{placeOf(n), name})
+}
+
+func (c *checker) want(n *jsontree.Node, k jsontree.Kind) bool {
+	if n.Kind == k {
 		return true
 	}
-	c.add(n, "is %s, must be %s", n.kind, k)
+	c.add(n, "is %s, must be %s", n.Kind, k)
 	return false
 }
 
-func (c *checker) text(n *node) (string, bool) {
-	if !c.want(n, kindString) {
+func (c *checker) text(n *jsontree.Node) (string, bool) {
+	if !c.want(n, jsontree.String) {
 		return "", false
 	}
-	return n.text, true
+	return n.Text, true
 }
 
-func (c *checker) boolean(n *node) (bool, bool) {
-	return n.boolean, c.want(n, kindBoolean)
+func (c *checker) boolean(n *jsontree.Node) (bool, bool) {
+	return n.Boolean, c.want(n, jsontree.Boolean)
 }
 
-func (c *checker) number(n *node, least, most float64) (float64, bool) {
-	if !c.want(n, kindNumber) {
+func (c *checker) number(n *jsontree.Node, least, most float64) (float64, bool) {
+	if !c.want(n, jsontree.Number) {
 		return 0, false
 	}
-	if n.number < least || n.number > most {
-		c.add(n, "%v is outside %v to %v", n.number, least, most)
+	if n.Number < least || n.Number > most {
+		c.add(n, "%s is outside %v to %v", n.Text, least, most)
 		return 0, false
 	}
-	return n.number, true
+	return n.Number, true
 }
 
-// object calls the reader of each member and reports unknown and repeated keys.
-func (c *checker) object(n *node, readers map[string]func(*node)) {
-	if !c.want(n, kindObject) {
-		return
+// maxNameBytes bounds the names of services and ranks.
+const maxNameBytes = 128
+
+// name reports a name that a request's header could not carry.
+func (c *checker) name(n *jsontree.Node, what, name, without string) {
+	visible := func(r rune) bool { return r > ' ' && r < 0x7f && !strings.ContainsRune(without, r) }
+	bad := strings.IndexFunc(name, func(r rune) bool { return !visible(r) }) >= 0
+	if name == "" || len(name) > maxNameBytes || bad {
+		c.add(n, "%s %q is not 1 to %d visible ASCII characters without spaces and any of %q", what, name, maxNameBytes, without)
 	}
-	seen := map[string]bool{}
-	for _, m := range n.members {
-		read, known := readers[m.name]
-		switch {
-		case !known:
-			c.add(m.value, "unknown key %q", m.name)
-		case seen[m.name]:
-			c.add(m.value, "key %q stands twice", m.name)
-		default:
-			read(m.value)
+}
+
+// object calls the reader of each member and reports unknown and repeated keys.
+func (c *checker) object(n *jsontree.Node, readers map[string]func(*jsontree.Node)) {
+	c.members(n, func(name string, value *jsontree.Node) {
+		read, known := readers[name]
+		if !known {
+			c.add(value, "unknown key %q", name)
+			return
 		}
-		seen[m.name] = true
-	}
+		read(value)
+	})
 }
 
-// each calls read for every member of an object whose keys are names.
-func (c *checker) each(n *node, read func(name string, value *node)) {
-	if !c.want(n, kindObject) {
+// members calls read for each member of an object, and reports repeated keys.
+func (c *checker) members(n *jsontree.Node, read func(name string, value *jsontree.Node)) {
+	if !c.want(n, jsontree.Object) {
 		return
 	}
-	seen := map[string]bool{}
-	for _, m := range n.members {
-		if seen[m.name] {
-			c.add(m.value, "key %q stands twice", m.name)
-			continue
-		}
-		if m.name == "" {
-			c.add(m.value, "the name is empty")
+	seen := make(map[string]bool, len(n.Members))
+	for _, m := range n.Members {
+		if seen[m.Name] {
+			c.add(m.Value, "key %q stands twice", m.Name)
 			continue
 		}
-		seen[m.name] = true
-		read(m.name, m.value)
+		seen[m.Name] = true
+		read(m.Name, m.Value)
 	}
 }
 
-func (c *checker) overrides(n *node) []override {
+// overrides reads a settings object at a level of the tree.
+func (c *checker) overrides(n *jsontree.Node, level Level) []override {
 	var out []override
-	readers := make(map[string]func(*node), len(keys))
-	for _, key := range keys {
-		readers[key.Name] = func(value *node) {
-			if o := key.read(c, value); o != nil {
-				out = append(out, o)
-			}
+	c.members(n, func(name string, value *jsontree.Node) {
+		i, known := keyIndex[name]
+		if !known {
+			c.add(value, "unknown key %q", name)
+			return
 		}
-	}
-	c.object(n, readers)
-	return out
-}
-
-func (c *checker) ranks(n *node) []Rank {
-	if !c.want(n, kindArray) {
-		return nil
-	}
-	var ranks []Rank
-	var sum float64
-	seen := map[string]bool{}
-	for _, item := range n.items {
-		rank := c.rank(item)
-		if seen[rank.Name] {
-			c.add(item, "rank %q stands twice", rank.Name)
+		if !keys[i].holdsAt(level) {
+			c.add(value, "%q is not a setting of a %s: %s", name, level, keys[i].levelsText())
+			return
+		}
+		if change := keys[i].read(c, value); change != nil {
+			out = append(out, override{i, change, placeOf(value)})
 		}
-		seen[rank.Name] = true
-		sum += rank.Share
-		ranks = append(ranks, rank)
-	}
-	if sum > 1 {
-		c.add(n, "the shares add up to %.3g, more than 1", sum)
-	}
-	return ranks
-}
-
-func (c *checker) rank(n *node) Rank {
-	var r Rank
-	c.object(n, map[string]func(*node){
-		"name":      func(v *node) { r.Name, _ = c.text(v) },
-		"share":     func(v *node) { r.Share, _ = c.number(v, 0, 1) },
-		"protected": func(v *node) { r.Protected, _ = c.boolean(v) },
-	})
-	if r.Name == "" {
-		c.add(n, "the rank has no name")
-	}
-	return r
-}
-
-func (c *checker) windows(n *node) []Window {
-	if !c.want(n, kindArray) {
-		return nil
-	}
-	var windows []Window
-	for _, item := range n.items {
-		windows = append(windows, c.window(item))
-	}
-	return windows
-}
-
-func (c *checker) window(n *node) Window {
-	w := Window{Zone: time.UTC, Shares: map[string]float64{}}
-	from, to := false, false
-	c.object(n, map[string]func(*node){
-		"from": func(v *node) { w.From, from = c.timeOfDay(v) },
-		"to":   func(v *node) { w.To, to = c.timeOfDay(v) },
-		"zone": func(v *node) { w.Zone = c.zone(v) },
-		"shares": func(v *node) {
-			c.each(v, func(name string, share *node) {
-				c.useRank(share, name)
-				w.Shares[name], _ = c.number(share, 0, 1)
-			})
-		},
 	})
-	if n.kind == kindObject && (!from || !to) {
-		c.add(n, "a window needs \"from\" and \"to\" as HH:MM")
-	}
-	return w
-}
-
-func (c *checker) timeOfDay(n *node) (time.Duration, bool) {
-	s, ok := c.text(n)
-	if !ok {
-		return 0, false
-	}
-	t, err := time.Parse("15:04", s)
-	if err != nil {
-		c.add(n, "%q is not a time of day as HH:MM", s)
-		return 0, false
-	}
-	return time.Duration(t.Hour())*time.Hour + time.Duration(t.Minute())*time.Minute, true
-}
-
-func (c *checker) zone(n *node) *time.Location {
-	s, ok := c.text(n)
-	if !ok {
-		return time.UTC
-	}
-	zone, err := time.LoadLocation(s)
-	if err != nil {
-		c.add(n, "%q is not an IANA time zone", s)
-		return time.UTC
-	}
-	return zone
+	return out
 }
--- /dev/null
+++ b/core/settings/diff.go
@@ -0,0 +1,96 @@
+package settings
+
+import (
+	"maps"
+	"slices"
+	"strings"
+
+	"fuchsiavane.org/core/jsontree"
+)
+
+// Change is one setting in which two documents differ.
+type Change struct {
+	// Pointer is the place as a JSON pointer, a rank by its name in place of
+	// its index.
+	Pointer string `json:"pointer"`
+	// Before and After are the values as JSON; empty where there is none.
+	Before string `json:"before,omitempty"`
+	After  string `json:"after,omitempty"`
+}
+
+// String formats the change for an operator.
+func (c Change) String() string {
+	switch {
+	case c.Before == "":
+		return c.Pointer + ": set to " + c.After
+	case c.After == "":
+		return c.Pointer + ": " + c.Before + " removed"
+	}
+	return c.Pointer + ": " + c.Before + " to " + c.After
+}
+
+// Diff lists the settings in which two documents differ, sorted by pointer.
+// Layout and the order of keys don't count. A document that is not JSON has no
+// settings.
+func Diff(before, after []byte) []Change {
+	a, b := flatten(before), flatten(after)
+	pointers := slices.Sorted(maps.Keys(a))
+	for pointer := range b {
+		if _, both := a[pointer]; !both {
+			pointers = append(pointers, pointer)
+		}
+	}
+	slices.Sort(pointers)
+	var changes []Change
+	for _, pointer := range pointers {
+		if a[pointer] != b[pointer] {
+			changes = append(changes, Change{pointer, a[pointer], b[pointer]})
+		}
+	}
+	return changes
+}
+
+// flatten maps the pointer of each setting to its value as JSON.
+func flatten(document []byte) map[string]string {
+	flat := map[string]string{}
+	root, err := jsontree.Parse(document)
+	if err != nil {
+		return flat
+	}
+	flattenNode(flat, root, root.Pointer)
+	return flat
+}
+
+func flattenNode(flat map[string]string, n *jsontree.Node, pointer string) {
+	switch {
+	case n.Kind == jsontree.Object:
+		for _, m := range n.Members {
+			flattenNode(flat, m.Value, pointer+"/"+jsontree.EscapePointer(m.Name))
+		}
+	case pointer == "/ranks" && n.Kind == jsontree.Array:
+		flattenRanks(flat, n, pointer)
+	default:
+		flat[pointer] = n.Compact()
+	}
+}
+
+// flattenRanks names each rank's settings by the rank, and keeps the order as a
+// setting of its own.
+func flattenRanks(flat map[string]string, n *jsontree.Node, pointer string) {
+	var names []string
+	for _, item := range n.Items {
+		name := rankName(item)
+		names = append(names, name)
+		flattenNode(flat, item, pointer+"/"+jsontree.EscapePointer(name))
+	}
+	flat[pointer] = strings.Join(names, " > ")
+}
+
+func rankName(n *jsontree.Node) string {
+	for _, m := range n.Members {
+		if m.Name == "name" {
+			return m.Value.Text
+		}
+	}
+	return n.Pointer
+}
--- a/core/settings/document.go
+++ b/core/settings/document.go
@@ -1,95 +1,141 @@
 package settings
 
 import (
+	"cmp"
+	"errors"
 	"fmt"
 	"slices"
 	"strings"
-	"time"
+
+	"fuchsiavane.org/core/jsontree"
 )
 
 // Document is a checked settings tree. It is immutable.
 type Document struct {
-	root     []override
 	ranks    []Rank
+	root     scope
 	services map[string]*service
 }
 
-type service struct {
+// scope is one level of the tree with the values that hold there.
+type scope struct {
 	overrides []override
+	// values hold for requests that ask for no rank of their own.
+	values Values
+	// rank is the index of values.Rank, or -1 if the document has no ranks.
+	rank int
+	// queueSet is set if this level or one above sets the queue time.
+	queueSet bool
+}
+
+type service struct {
+	scope
 	// paths are sorted by falling length, so that the first match is the
-	// longest.
+	// longest; of two of one length, that with a method comes first.
 	paths []*path
 }
 
 type path struct {
-	method    string // empty matches every method
-	prefix    string
-	name      string
+	scope
+	method string // empty matches every method
+	prefix string
+	// ranks are the overrides by rank name.
+	ranks map[string]rankOverrides
+	// byRank holds the values by rank index; nil where they differ from the
+	// path's in nothing but the rank.
+	byRank []*Values
+}
+
+type rankOverrides struct {
+	at        place
 	overrides []override
-	ranks     map[string][]override
 }
 
 // Parse checks a document. It returns either a document or every finding.
 func Parse(data []byte) (*Document, Findings) {
 	if len(data) > MaxDocumentBytes {
-		return nil, Findings{{"", 0, fmt.Sprintf("the document has %d bytes, more than the store's %d", len(data), MaxDocumentBytes)}}
+		return nil, Findings{{"", 0, fmt.Sprintf("the document has %d bytes, more than the %d that the store can hold", len(data), MaxDocumentBytes)}}
 	}
-	root, err := parseNode(data)
+	root, err := jsontree.Parse(data)
 	if err != nil {
-		line := 1 + strings.Count(string(data[:min(len(data), syntaxOffset(err))]), "\n")
-		return nil, Findings{{"", line, "not JSON: " + err.Error()}}
+		return nil, Findings{syntaxFinding(err)}
 	}
 	c := &checker{}
 	d := c.document(root)
 	c.checkRankUses(d)
+	c.checkHours(d.ranks)
+	c.compile(d)
 	if len(c.findings) > 0 {
-		slices.SortStableFunc(c.findings, func(a, b Finding) int { return a.Line - b.Line })
+		slices.SortStableFunc(c.findings, compareFindings)
 		return nil, c.findings
 	}
 	return d, nil
 }
 
-func (c *checker) document(n *node) *Document {
+func compareFindings(a, b Finding) int {
+	return cmp.Or(a.Line-b.Line, strings.Compare(a.Pointer, b.Pointer), strings.Compare(a.Message, b.Message))
+}
+
+func syntaxFinding(err error) Finding {
+	var syntax *jsontree.SyntaxError
+	if !errors.As(err, &syntax) {
+		return Finding{"", 0, "not JSON: " + err.Error()}
+	}
+	return Finding{"", syntax.Line, "not JSON: " + syntax.Err.Error()}
+}
+
+func (c *checker) document(n *jsontree.Node) *Document {
 	d := &Document{services: map[string]*service{}}
-	c.object(n, map[string]func(*node){
-		"settings": func(v *node) { d.root = c.overrides(v) },
-		"ranks":    func(v *node) { d.ranks = c.ranks(v) },
-		"services": func(v *node) {
-			c.each(v, func(name string, value *node) { d.services[name] = c.service(value) })
+	c.object(n, map[string]func(*jsontree.Node){
+		"settings": func(v *jsontree.Node) { d.root.overrides = c.overrides(v, LevelRoot) },
+		"ranks":    func(v *jsontree.Node) { d.ranks = c.ranks(v) },
+		"services": func(v *jsontree.Node) {
+			c.members(v, func(name string, value *jsontree.Node) {
+				c.name(value, "service", name, "/:")
+				d.services[name] = c.service(value)
+			})
 		},
 	})
 	return d
 }
 
-func (c *checker) service(n *node) *service {
+func (c *checker) service(n *jsontree.Node) *service {
 	s := &service{}
-	c.object(n, map[string]func(*node){
-		"settings": func(v *node) { s.overrides = c.overrides(v) },
-		"paths": func(v *node) {
-			c.each(v, func(name string, value *node) { s.paths = append(s.paths, c.path(name, value)) })
+	c.object(n, map[string]func(*jsontree.Node){
+		"settings": func(v *jsontree.Node) { s.overrides = c.overrides(v, LevelService) },
+		"paths": func(v *jsontree.Node) {
+			c.members(v, func(name string, value *jsontree.Node) { s.paths = append(s.paths, c.path(name, value)) })
 		},
 	})
-	slices.SortStableFunc(s.paths, func(a, b *path) int { return len(b.prefix) - len(a.prefix) })
+	slices.SortStableFunc(s.paths, comparePaths)
 	return s
 }
 
-func (c *checker) path(name string, n *node) *path {
-	p := &path{name: name, ranks: map[string][]override{}}
-	method, prefix, found := strings.Cut(name, " ")
-	if !found {
-		method, prefix = "", name
+func comparePaths(a, b *path) int {
+	if a.prefix != b.prefix {
+		return len(b.prefix) - len(a.prefix)
 	}
-	p.method, p.prefix = method, prefix
-	if !strings.HasPrefix(prefix, "/") {
-		c.add(n, "call path %q is not \"METHOD /prefix\" or \"/prefix\"", name)
+	return len(b.method) - len(a.method)
+}
+
+func (c *checker) path(name string, n *jsontree.Node) *path {
+	p := &path{prefix: name, ranks: map[string]rankOverrides{}}
+	if method, prefix, found := strings.Cut(name, " "); found {
+		p.method, p.prefix = method, prefix
+		c.method(n, name, method)
 	}
-	c.object(n, map[string]func(*node){
-		"settings": func(v *node) { p.overrides = c.overrides(v) },
-		"ranks": func(v *node) {
-			c.each(v, func(rank string, value *node) {
+	if !strings.HasPrefix(p.prefix, "/") || strings.ContainsAny(p.prefix, "?#") {
+		c.add(n, "call path %q is not \"METHOD /prefix\" or \"/prefix\" without a query", name)
+	}
+	c.object(n, map[string]func(*jsontree.Node){
+		"settings": func(v *jsontree.Node) { p.overrides = c.overrides(v, LevelPath) },
+		"ranks": func(v *jsontree.Node) {
+			c.members(v, func(rank string, value *jsontree.Node) {
 				c.useRank(value, rank)
-				c.object(value, map[string]func(*node){
-					"settings": func(s *node) { p.ranks[rank] = c.overrides(s) },
+				c.object(value, map[string]func(*jsontree.Node){
+					"settings": func(s *jsontree.Node) {
+						p.ranks[rank] = rankOverrides{placeOf(value), c.overrides(s, LevelRank)}
+					},
 				})
 			})
 		},
@@ -97,22 +143,13 @@
 	return p
 }
 
-func (c *checker) checkRankUses(d *Document) {
-	for _, use := range c.uses {
-		if d.RankIndex(use.name) < 0 {
-			c.add(use.at, "rank %q is not in \"ranks\"", use.name)
-		}
+func (c *checker) method(n *jsontree.Node, name, method string) {
+	upper := func(r rune) bool { return (r >= 'A' && r <= 'Z') || r == '-' }
+	if method == "" || strings.IndexFunc(method, func(r rune) bool { return !upper(r) }) >= 0 {
+		c.add(n, "call path %q: %q is not an HTTP method in capital letters", name, method)
 	}
 }
 
-// Ranks returns the ranks, most urgent first. The caller must not change them.
-func (d *Document) Ranks() []Rank { return d.ranks }
-
-// RankIndex returns the place of a rank from 0, the most urgent, or -1.
-func (d *Document) RankIndex(name string) int {
-	return slices.IndexFunc(d.ranks, func(r Rank) bool { return r.Name == name })
-}
-
 // Services returns the names of the services in the document, sorted.
 func (d *Document) Services() []string {
 	names := make([]string, 0, len(d.services))
@@ -122,123 +159,3 @@
 	slices.Sort(names)
 	return names
 }
-
-// Resolve returns the values for one request. The requested rank may be less
-// urgent than the tree's; a more urgent or unknown one is ignored.
-func (d *Document) Resolve(serviceName, method, requestPath, requestedRank string) Values {
-	v := Defaults()
-	d.apply(&v, serviceName, method, requestPath, requestedRank, nil)
-	return v
-}
-
-// apply writes each level's overrides to v and calls after once a level.
-func (d *Document) apply(v *Values, serviceName, method, requestPath, requestedRank string, after func(Level)) {
-	step := func(level Level, overrides []override) {
-		for _, o := range overrides {
-			o(v)
-		}
-		if after != nil {
-			after(level)
-		}
-	}
-	step(LevelRoot, d.root)
-	var p *path
-	if s := d.services[serviceName]; s != nil {
-		step(LevelService, s.overrides)
-		p = s.match(method, requestPath)
-	}
-	if p != nil {
-		step(LevelPath, p.overrides)
-	}
-	if v.Rank == "" && len(d.ranks) > 0 {
-		v.Rank = d.ranks[len(d.ranks)-1].Name
-	}
-	if d.RankIndex(requestedRank) > d.RankIndex(v.Rank) {
-		v.Rank = requestedRank
-	}
-	rank := v.Rank
-	if p != nil {
-		step(LevelRank, p.ranks[rank])
-	}
-	v.Rank = rank
-}
-
-func (s *service) match(method, requestPath string) *path {
-	for _, p := range s.paths {
-		if (p.method == "" || p.method == method) && strings.HasPrefix(requestPath, p.prefix) {
-			return p
-		}
-	}
-	return nil
-}
-
-// ServiceValues returns the values that hold for a service as a whole.
-func (d *Document) ServiceValues(serviceName string) Values {
-	return d.Resolve(serviceName, "", "", "")
-}
-
-// SharesAt returns the share of each rank of a service at a time, in the order
-// of Ranks.
-func (d *Document) SharesAt(serviceName string, now time.Time) []float64 {
-	shares := make([]float64, len(d.ranks))
-	for i, r := range d.ranks {
-		shares[i] = r.Share
-	}
-	v := d.ServiceValues(serviceName)
-	for _, w := range v.Hours {
-		if !w.Contains(now) {
-			continue
-		}
-		for name, share := range w.Shares {
-			shares[d.RankIndex(name)] = share
-		}
-	}
-	return shares
-}
-
-// Contains reports whether the window holds the time.
-func (w Window) Contains(now time.Time) bool {
-	local := now.In(w.Zone)
-	at := time.Duration(local.Hour())*time.Hour + time.Duration(local.Minute())*time.Minute
-	if w.From < w.To {
-		return at >= w.From && at < w.To
-	}
-	return at >= w.From || at < w.To
-}
-
-// EffectiveValue is one setting in force with the level that it comes from.
-type EffectiveValue struct {
-	Key   string `json:"key"`
-	Value any    `json:"value"`
-	Level Level  `json:"level"`
-}
-
-// Effective lists every setting for one request with its level.
-func (d *Document) Effective(serviceName, method, requestPath, requestedRank string) []EffectiveValue {
-	v := Defaults()
-	out := make([]EffectiveValue, len(keys))
-	for i, key := range keys {
-		out[i] = EffectiveValue{key.Name, key.get(&v), LevelDefault}
-	}
-	d.apply(&v, serviceName, method, requestPath, requestedRank, func(level Level) {
-		for i, key := range keys {
-			if value := key.get(&v); fmt.Sprint(value) != fmt.Sprint(out[i].Value) {
-				out[i] = EffectiveValue{key.Name, value, level}
-			}
-		}
-	})
-	out[0].Value = v.Rank
-	return out
-}
-
-func formatWindows(windows []Window) string {
-	parts := make([]string, len(windows))
-	for i, w := range windows {
-		parts[i] = fmt.Sprintf("%s-%s %s %v", clock(w.From), clock(w.To), w.Zone, w.Shares)
-	}
-	return strings.Join(parts, "; ")
-}
-
-func clock(d time.Duration) string {
-	return fmt.Sprintf("%02d:%02d", int(d.Hours()), int(d.Minutes())%60)
-}
--- a/core/settings/keys.go
+++ b/core/settings/keys.go
@@ -1,13 +1,23 @@
 package settings
 
 import (
+	"fmt"
 	"math"
+	"strings"
 	"time"
+
+	"fuchsiavane.org/core/jsontree"
 )
 
-// MaxDocumentBytes is the largest document that the platform's store holds as
-// one value.
-const MaxDocumentBytes = 1 << 20
+const (
+	// storeValueBytes is the largest value that the platform's store holds.
+	storeValueBytes = 1 << 20
+	// envelopeBytes bounds what is stored around the document.
+	envelopeBytes = 64 << 10
+	// MaxDocumentBytes is the largest document that is accepted: the store
+	// holds it in base64, four bytes for three, within an envelope.
+	MaxDocumentBytes = (storeValueBytes - envelopeBytes) / 4 * 3
+)
 
 // Key describes one setting.
 type Key struct {
@@ -17,22 +27,84 @@
 	Unit string
 	// Doc says what the setting does.
 	Doc string
-	// read checks the value and returns the change that it makes.
-	read func(c *checker, n *node) override
+	// Deepest is the deepest level at which the setting holds: at that one and at
+	// those above it.
+	Deepest Level
+	// read checks the value and returns the change that it makes, or nil after
+	// a finding.
+	read func(c *checker, n *jsontree.Node) func(*Values)
 	// get returns the value as it would stand in a document.
 	get func(v *Values) any
 }
 
-// override changes one value.
-type override func(v *Values)
+// override is one setting of a level.
+type override struct {
+	// key is the index in keys.
+	key    int
+	change func(*Values)
+	at     place
+}
+
+// levels lists the levels of a document from the top.
+var levels = []Level{LevelRoot, LevelService, LevelPath, LevelRank}
+
+// Levels lists the levels at which the setting may stand.
+func (k Key) Levels() []Level {
+	for i, level := range levels {
+		if level == k.Deepest {
+			return levels[:i+1]
+		}
+	}
+	return levels
+}
+
+func (k Key) holdsAt(level Level) bool {
+	for _, l := range k.Levels() {
+		if l == level {
+			return true
+		}
+	}
+	return false
+}
+
+func (k Key) levelsText() string {
+	names := make([]string, len(k.Levels()))
+	for i, level := range k.Levels() {
+		names[i] = string(level)
+	}
+	return fmt.Sprintf("it holds at the levels %s", strings.Join(names, ", "))
+}
+
+// Default returns the value where no level sets one, as it would stand in a
+// document.
+func (k Key) Default() any {
+	v := Defaults()
+	return k.get(&v)
+}
+
+// Indexes of the keys that rules refer to.
+var (
+	keyIndex   = indexKeys()
+	keyRank    = keyIndex["rank"]
+	keyTimeout = keyIndex["timeout_ms"]
+	keyQueue   = keyIndex["queue_ms"]
+)
+
+func indexKeys() map[string]int {
+	index := make(map[string]int, len(keys))
+	for i, key := range keys {
+		index[key.Name] = i
+	}
+	return index
+}
 
 // Keys lists every setting in the order of the documentation.
 func Keys() []Key { return keys }
 
 var keys = []Key{
 	{
-		"rank", "rank name", "Rank of work on the call path.",
-		func(c *checker, n *node) override {
+		"rank", "rank name", "Rank of work on the call path.", LevelPath,
+		func(c *checker, n *jsontree.Node) func(*Values) {
 			name, ok := c.text(n)
 			if !ok {
 				return nil
@@ -43,18 +115,18 @@
 		func(v *Values) any { return v.Rank },
 	},
 	{
-		"timeout_ms", "ms", "Time allowed for the whole call, children included.",
+		"timeout_ms", "ms", "Time allowed for the whole call, children included.", LevelRank,
 		duration(1, maxDuration, func(v *Values) *time.Duration { return &v.Timeout }),
 		func(v *Values) any { return v.Timeout.Milliseconds() },
 	},
 	{
-		"attempts", "runs", "Most runs of one request across the whole call chain.",
+		"attempts", "runs", "Most runs of one request across the whole call chain.", LevelRank,
 		integer(1, 100, func(v *Values) *int { return &v.Attempts }),
 		func(v *Values) any { return v.Attempts },
 	},
 	{
-		"retry_ratio", "part of first sends, 0 to 1", "Bounds retries of a service and resends of a caller.",
-		func(c *checker, n *node) override {
+		"retry_ratio", "part of first sends, 0 to 1", "Bounds retries of a service and resends of a caller.", LevelRank,
+		func(c *checker, n *jsontree.Node) func(*Values) {
 			f, ok := c.number(n, 0, 1)
 			if !ok {
 				return nil
@@ -64,8 +136,8 @@
 		func(v *Values) any { return v.RetryRatio },
 	},
 	{
-		"idempotent", "true or false", "Whether a request may run more than once; by method as in RFC 9110 if unset.",
-		func(c *checker, n *node) override {
+		"idempotent", "true or false", "Whether a request may run more than once; by method as in RFC 9110 if unset.", LevelRank,
+		func(c *checker, n *jsontree.Node) func(*Values) {
 			b, ok := c.boolean(n)
 			if !ok {
 				return nil
@@ -80,23 +152,23 @@
 		},
 	},
 	{
-		"slots", "requests", "Most concurrent requests at one upstream instance.",
+		"slots", "requests", "Most concurrent requests at one upstream instance.", LevelService,
 		integer(1, 100000, func(v *Values) *int { return &v.Slots }),
 		func(v *Values) any { return v.Slots },
 	},
 	{
-		"connections", "connections", "Most open connections to one upstream instance.",
+		"connections", "connections", "Most open connections to one upstream instance.", LevelService,
 		integer(1, 100000, func(v *Values) *int { return &v.Connections }),
 		func(v *Values) any { return v.Connections },
 	},
 	{
-		"queue_ms", "ms", "Longest wait for a slot.",
+		"queue_ms", "ms", "Longest wait for a slot.", LevelRank,
 		duration(0, maxDuration, func(v *Values) *time.Duration { return &v.Queue }),
 		func(v *Values) any { return v.Queue.Milliseconds() },
 	},
 	{
-		"cross_region", `"never" or "spill"`, "Whether a call may leave its region.",
-		func(c *checker, n *node) override {
+		"cross_region", `"never" or "spill"`, "Whether a call may leave its region.", LevelRank,
+		func(c *checker, n *jsontree.Node) func(*Values) {
 			s, ok := c.text(n)
 			if !ok {
 				return nil
@@ -110,20 +182,17 @@
 		func(v *Values) any { return v.CrossRegion },
 	},
 	{
-		"hours", "list of windows", "Daily windows in which the shares of ranks differ.",
-		func(c *checker, n *node) override {
-			windows := c.windows(n)
-			return func(v *Values) { v.Hours = windows }
-		},
+		"hours", "list of windows", "Daily windows in which the shares of ranks differ.", LevelService,
+		readHours,
 		func(v *Values) any { return formatWindows(v.Hours) },
 	},
 	{
-		"slow_start_ms", "ms", "Time over which a new upstream's share of work rises.",
+		"slow_start_ms", "ms", "Time over which a new upstream's share of work rises.", LevelService,
 		duration(0, maxDuration, func(v *Values) *time.Duration { return &v.SlowStart }),
 		func(v *Values) any { return v.SlowStart.Milliseconds() },
 	},
 	{
-		"drain_ms", "ms", "Longest graceful shutdown.",
+		"drain_ms", "ms", "Longest graceful shutdown.", LevelService,
 		duration(0, maxDuration, func(v *Values) *time.Duration { return &v.Drain }),
 		func(v *Values) any { return v.Drain.Milliseconds() },
 	},
@@ -132,8 +201,8 @@
 // maxDuration is the longest duration that a setting may give.
 const maxDuration = 24 * time.Hour
 
-func duration(least int, most time.Duration, field func(*Values) *time.Duration) func(*checker, *node) override {
-	return func(c *checker, n *node) override {
+func duration(least int, most time.Duration, field func(*Values) *time.Duration) func(*checker, *jsontree.Node) func(*Values) {
+	return func(c *checker, n *jsontree.Node) func(*Values) {
 		f, ok := c.number(n, float64(least), float64(most.Milliseconds()))
 		if !ok {
 			return nil
@@ -143,8 +212,8 @@
 	}
 }
 
-func integer(least, most int, field func(*Values) *int) func(*checker, *node) override {
-	return func(c *checker, n *node) override {
+func integer(least, most int, field func(*Values) *int) func(*checker, *jsontree.Node) func(*Values) {
+	return func(c *checker, n *jsontree.Node) func(*Values) {
 		f, ok := c.number(n, float64(least), float64(most))
 		if !ok {
 			return nil
--- a/core/settings/values.go
+++ b/core/settings/values.go
@@ -6,7 +6,11 @@
 // for concurrent use.
 package settings
 
-import "time"
+import (
+	"fmt"
+	"strings"
+	"time"
+)
 
 // CrossRegion says whether a call may leave its region over the narrow link.
 type CrossRegion string
@@ -29,6 +33,8 @@
 	LevelService Level = "service"
 	LevelPath    Level = "call path"
 	LevelRank    Level = "rank"
+	// LevelRequest is the rank that a request asked for.
+	LevelRequest Level = "request"
 )
 
 // Rank is a class of work. Ranks are listed most urgent first.
@@ -109,3 +115,20 @@
 		Drain:       30 * time.Second,
 	}
 }
+
+// String formats the window for an operator.
+func (w Window) String() string {
+	return fmt.Sprintf("%s-%s %s %v", clock(w.From), clock(w.To), w.Zone, w.Shares)
+}
+
+func clock(d time.Duration) string {
+	return fmt.Sprintf("%02d:%02d", int(d.Hours()), int(d.Minutes())%60)
+}
+
+func formatWindows(windows []Window) string {
+	parts := make([]string, len(windows))
+	for i, w := range windows {
+		parts[i] = w.String()
+	}
+	return strings.Join(parts, "; ")
+}
