Operators' command and process settings as a product

Cause: racing edits gave no view of what had changed, a lost answer was recognised only while no further edit followed, there was no history, diff or wait, drain took no instance, findings of process settings had no place and unknown keys stopped at the first.

Process settings report every finding with its flag, variable or file and line, unknown variables and keys included. Addresses are IP numbers, as the processes talk by these.

--- a/core/route/route.go
+++ b/core/route/route.go
@@ -22,6 +22,8 @@
 	Service, Region, DataCentre string
 	// Addr is the host:port of its peer port.
 	Addr string
+	// Admin is the host:port of its admin port, for operators.
+	Admin string
 	// Leaving peers get no new calls.
 	Leaving bool
 	// Since is when this daemon first saw the peer.
--- a/node/admin/admin.go
+++ b/node/admin/admin.go
@@ -14,9 +14,20 @@
 	Region     string `json:"region"`
 	DataCentre string `json:"data_centre"`
 	Addr       string `json:"addr"`
-	State      string `json:"state"`
+	// Admin is the host:port of the peer's admin port; empty if not known.
+	Admin string `json:"admin"`
+	State string `json:"state"`
+	// SettingsRevision is the revision that the peer last said to have in
+	// force; 0 if not known.
+	SettingsRevision uint64 `json:"settings_revision"`
 }
 
+// States of a peer and lives of a daemon that commands look at.
+const (
+	StateServing = "serving"
+	StateLeaving = "leaving"
+)
+
 // Status is the body of /status.
 type Status struct {
 	Version          string `json:"version"`
--- a/node/cli/cli.go
+++ b/node/cli/cli.go
@@ -79,14 +79,14 @@
 	case errors.As(err, &findings):
 		c.reportFindings(findings)
 		return ExitUsage
+	}
+	fmt.Fprintln(c.Err, err)
+	switch {
 	case errors.As(err, &usage):
-		fmt.Fprintln(c.Err, err)
 		return ExitUsage
 	case errors.Is(err, edit.ErrConflict):
-		fmt.Fprintln(c.Err, err)
 		return ExitConflict
 	}
-	fmt.Fprintln(c.Err, err)
 	return ExitFailed
 }
 
@@ -106,18 +106,27 @@
 
 // tree is the command with its subcommands.
 func (c *command) tree() *ffcli.Command {
-	return c.group("fuchsiavane", "fuchsiavane COMMAND", "Drives the overload control layer.",
+	return c.group("fuchsiavane", "fuchsiavane COMMAND [flags]", helpRoot,
 		c.settingsTree(),
 		c.statusCommand(),
 		c.drainCommand(),
-		c.leaf("demo", "fuchsiavane demo", "Runs a small whole system and prints what each rank got.", nil,
-			func(ctx context.Context, _ []string) error { return demo.Run(ctx, c.Out) }),
-		c.leaf("version", "fuchsiavane version", "Prints the version.", nil,
-			func(context.Context, []string) error { return c.version() }),
+		c.leaf(leaf{
+			name: "demo", usage: "fuchsiavane demo", help: helpDemo,
+			exec: func(ctx context.Context, args []string) error {
+				if err := noArguments(args); err != nil {
+					return err
+				}
+				return demo.Run(ctx, c.Out)
+			},
+		}),
+		c.leaf(leaf{name: "version", usage: "fuchsiavane version", help: helpVersion, exec: c.version}),
 	)
 }
 
-func (c *command) version() error {
+func (c *command) version(_ context.Context, args []string) error {
+	if err := noArguments(args); err != nil {
+		return err
+	}
 	if c.json {
 		return c.printJSON(struct {
 			Version string `json:"version"`
@@ -127,29 +136,65 @@
 	return err
 }
 
-func (c *command) group(name, usage, help string, subcommands ...*ffcli.Command) *ffcli.Command {
-	fs := c.flags(name)
+func noArguments(args []string) error {
+	if len(args) > 0 {
+		return usagef("unexpected argument %q", args[0])
+	}
+	return nil
+}
+
+func (c *command) group(name, usage string, help helpText, subcommands ...*ffcli.Command) *ffcli.Command {
 	return &ffcli.Command{
-		Name: name, ShortUsage: usage, ShortHelp: help, FlagSet: fs, Subcommands: subcommands,
+		Name: name, ShortUsage: usage, ShortHelp: help.short, LongHelp: help.long(),
+		FlagSet: c.flags(name), Subcommands: subcommands,
 		Exec: func(_ context.Context, args []string) error {
 			if len(args) > 0 {
-				return usagef("%s: unknown command %q", name, args[0])
+				return usagef("%s: unknown command %q; see %s -h", name, args[0], name)
 			}
 			return flag.ErrHelp
 		},
 	}
 }
 
-func (c *command) leaf(name, usage, help string, define func(*flag.FlagSet), exec func(context.Context, []string) error) *ffcli.Command {
-	fs := c.flags(name)
-	fs.BoolVar(&c.json, "json", false, "print JSON")
-	if define != nil {
-		define(fs)
+// leaf describes a command without subcommands.
+type leaf struct {
+	name, usage string
+	help        helpText
+	define      func(*flag.FlagSet)
+	exec        func(context.Context, []string) error
+}
+
+func (c *command) leaf(l leaf) *ffcli.Command {
+	fs := c.flags(l.name)
+	fs.BoolVar(&c.json, "json", false, "print the result as JSON")
+	if l.define != nil {
+		l.define(fs)
 	}
 	return &ffcli.Command{
-		Name: name, ShortUsage: usage, ShortHelp: help, FlagSet: fs, Exec: exec,
+		Name: l.name, ShortUsage: l.usage, ShortHelp: l.help.short, LongHelp: l.help.long(), FlagSet: fs,
 		Options: []ff.Option{ff.WithEnvVarPrefix(envPrefix)},
+		Exec: func(ctx context.Context, args []string) error {
+			arguments, err := interleaved(fs, args)
+			if err != nil {
+				return usageError{err}
+			}
+			return l.exec(ctx, arguments)
+		},
+	}
+}
+
+// interleaved returns the arguments without the flags that stand after the
+// first of them, which it sets.
+func interleaved(fs *flag.FlagSet, args []string) ([]string, error) {
+	var arguments []string
+	for len(args) > 0 {
+		arguments = append(arguments, args[0])
+		if err := fs.Parse(args[1:]); err != nil {
+			return nil, err
+		}
+		args = fs.Args()
 	}
+	return arguments, nil
 }
 
 func (c *command) flags(name string) *flag.FlagSet {
@@ -159,9 +204,9 @@
 }
 
 func (c *command) platformFlag(fs *flag.FlagSet) {
-	fs.StringVar(&c.platform, "platform", "", "base `URL` of the platform's store")
+	fs.StringVar(&c.platform, "platform", "", "base `URL` of the platform's store, also "+envPrefix+"_PLATFORM")
 }
 
 func (c *command) daemonFlag(fs *flag.FlagSet) {
-	fs.StringVar(&c.daemon, "daemon", "http://127.0.0.1:7403", "admin base `URL` of a daemon")
+	fs.StringVar(&c.daemon, "daemon", "http://127.0.0.1:7403", "admin base `URL` of a daemon, also "+envPrefix+"_DAEMON")
 }
--- /dev/null
+++ b/node/cli/cli_test.go
@@ -0,0 +1,178 @@
+package cli
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"fuchsiavane.org/node/admin"
+)
+
+// run runs a command line and returns its exit status and streams.
+func run(t *testing.T, stdin string, args ...string) (int, string, string) {
+	t.Helper()
+	var out, err bytes.Buffer
+	status := Main(t.Context(), args, Streams{In: strings.NewReader(stdin), Out: &out, Err: &err})
+	return status, out.String(), err.String()
+}
+
+// fakeStore answers as the platform's store does for the settings keys.
+func fakeStore(t *testing.T) string {
+	t.Helper()
+	values := map[string][]byte{}
+	revisions := map[string]int{}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		key := r.URL.Path
+		if r.Method == http.MethodPut {
+			var b bytes.Buffer
+			_, _ = b.ReadFrom(r.Body)
+			values[key] = b.Bytes()
+			revisions[key]++
+			_ = json.NewEncoder(w).Encode(map[string]int{"revision": revisions[key]})
+			return
+		}
+		if revisions[key] == 0 {
+			http.NotFound(w, r)
+			return
+		}
+		w.Header().Set("Revision", "1")
+		_, _ = w.Write(values[key])
+	}))
+	t.Cleanup(server.Close)
+	return server.URL
+}
+
+func fakeAdmin(t *testing.T, status func() admin.Status) string {
+	t.Helper()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_ = json.NewEncoder(w).Encode(status())
+	}))
+	t.Cleanup(server.Close)
+	return server.URL
+}
+
+func TestWrongCommandLinesExitWithUsage(t *testing.T) {
+	is := is.New(t)
+	for _, args := range [][]string{
+		{},
+		{"sail"},
+		{"settings"},
+		{"settings", "sail"},
+		{"settings", "check"},
+		{"settings", "check", "a", "b"},
+		{"settings", "check", "-colour", "-"},
+		{"settings", "check", "-", "-colour"},
+		{"settings", "show"}, // no store
+		{"settings", "apply", "-platform", "nowhere", "-"},
+		{"settings", "effective", "-"},
+		{"version", "x"},
+		{"status", "x"},
+		{"drain"},
+	} {
+		status, out, stderr := run(t, "{}", args...)
+		is.Equal(status, ExitUsage)
+		is.Equal(out, "")
+		is.True(stderr != "")
+	}
+}
+
+func TestEveryCommandHasHelp(t *testing.T) {
+	is := is.New(t)
+	for _, command := range []string{"", "settings", "settings check", "settings diff", "settings apply", "settings show", "settings history", "settings effective", "status", "drain", "demo", "version"} {
+		status, _, stderr := run(t, "", append(strings.Fields(command), "-h")...)
+		is.Equal(status, ExitOK)
+		is.True(strings.Contains(stderr, "USAGE"))
+	}
+}
+
+func TestFindingsAsJSON(t *testing.T) {
+	is := is.New(t)
+	status, out, _ := run(t, `{"settings": {"slots": 0}}`, "settings", "check", "-", "--json")
+	is.Equal(status, ExitUsage)
+	var findings []struct {
+		Pointer string
+		Line    int
+	}
+	is.NoErr(json.Unmarshal([]byte(out), &findings))
+	is.Equal(findings[0].Pointer, "/settings/slots")
+	is.Equal(findings[0].Line, 1)
+}
+
+func TestDiffOfTwoFilesNeedsNoStore(t *testing.T) {
+	is := is.New(t)
+	old := filepath.Join(t.TempDir(), "old.json")
+	is.NoErr(os.WriteFile(old, []byte(`{"settings": {"slots": 5}}`), 0o600))
+	status, out, _ := run(t, `{"settings": {"slots": 6}}`, "settings", "diff", old, "-")
+	is.Equal(status, ExitOK)
+	is.Equal(out, "/settings/slots: 5 to 6\n")
+}
+
+func TestWaitReturnsWhenLiveDaemonsHaveTheRevision(t *testing.T) {
+	is := is.New(t)
+	var asked atomic.Uint64
+	follower := fakeAdmin(t, func() admin.Status { // has it at the third look
+		return admin.Status{Instance: "b", SettingsRevision: min(asked.Add(1)/3, 1)}
+	})
+	daemon := fakeAdmin(t, func() admin.Status {
+		return admin.Status{Instance: "a", SettingsRevision: 1, Peers: []admin.Peer{
+			{ID: "a", State: admin.StateServing},
+			{ID: "b", State: admin.StateServing, Admin: strings.TrimPrefix(follower, "http://")},
+			{ID: "c", State: admin.StateServing, SettingsRevision: 2},
+			{ID: "d", State: admin.StateLeaving},
+		}}
+	})
+	// c is known to have revision 2, so that the edit gets 3, which nobody has.
+	status, out, stderr := run(t, "{}", "settings", "apply", "-platform", fakeStore(t), "-daemon", daemon, "-wait", "-wait-time", "1ms", "-")
+	is.Equal(status, ExitFailed)
+	is.True(strings.Contains(out, "revision 3\n"))
+	is.True(strings.Contains(out, "not live, not waited for: d (leaving)"))
+	is.True(strings.Contains(stderr, "revision 3 was accepted, but is not in force after 1ms at: a, b, c"))
+}
+
+func TestWaitSucceeds(t *testing.T) {
+	is := is.New(t)
+	var asked atomic.Uint64
+	daemon := fakeAdmin(t, func() admin.Status {
+		return admin.Status{Instance: "a", SettingsRevision: min(asked.Add(1)/3, 1)}
+	})
+	status, out, _ := run(t, "{}", "settings", "apply", "-platform", fakeStore(t), "-daemon", daemon, "-wait", "-json", "-")
+	is.Equal(status, ExitOK)
+	var result struct {
+		Revision uint64
+		InForce  []string `json:"in_force"`
+	}
+	is.NoErr(json.Unmarshal([]byte(out), &result))
+	is.Equal(result.Revision, uint64(1))
+	is.Equal(result.InForce, []string{"a"})
+}
+
+func TestWaitWithoutADaemonChangesNothing(t *testing.T) {
+	is := is.New(t)
+	store := fakeStore(t)
+	status, _, stderr := run(t, "{}", "settings", "apply", "-platform", store, "-daemon", "http://127.0.0.1:1", "-wait", "-")
+	is.Equal(status, ExitFailed)
+	is.True(strings.Contains(stderr, "nothing was changed"))
+	status, _, _ = run(t, "", "settings", "show", "-platform", store)
+	is.Equal(status, ExitFailed) // no settings yet
+}
+
+func TestDrainNamesWhatIsKnown(t *testing.T) {
+	is := is.New(t)
+	daemon := fakeAdmin(t, func() admin.Status {
+		return admin.Status{Instance: "a", Peers: []admin.Peer{{ID: "a"}, {ID: "b"}}}
+	})
+	status, _, stderr := run(t, "", "drain", "-daemon", daemon, "c")
+	is.Equal(status, ExitFailed)
+	is.True(strings.Contains(stderr, `instance "c" is not known to a, which knows a, b`))
+	status, _, stderr = run(t, "", "drain", "-daemon", daemon, "b")
+	is.Equal(status, ExitFailed)
+	is.True(strings.Contains(stderr, "admin address of b is not known"))
+}
--- /dev/null
+++ b/node/cli/help.go
@@ -0,0 +1,121 @@
+package cli
+
+import "strings"
+
+// helpText is the help of one command.
+type helpText struct {
+	// short is one line for the list of commands.
+	short string
+	// more explains the command.
+	more string
+	// examples are command lines.
+	examples []string
+}
+
+// long returns what follows the usage line.
+func (h helpText) long() string {
+	var parts []string
+	if h.more != "" {
+		parts = append(parts, h.more)
+	}
+	if len(h.examples) > 0 {
+		parts = append(parts, "Examples:\n  "+strings.Join(h.examples, "\n  "))
+	}
+	return strings.Join(parts, "\n\n")
+}
+
+var (
+	helpRoot = helpText{
+		short: "Drives the overload control layer.",
+		more: `Operators edit one tree of settings, which every daemon takes within seconds.
+Results go to stdout, messages to stderr.
+
+Exit status:
+  0  done
+  1  failed; the message says whether anything was changed
+  2  wrong command line, or a document with findings
+  3  another operator's edit came first; nothing was changed`,
+		examples: []string{
+			"fuchsiavane demo",
+			"fuchsiavane settings check site.json",
+			"fuchsiavane settings apply -platform http://10.0.0.5:7499 -wait site.json",
+			"fuchsiavane status -daemon http://10.0.1.7:7403",
+		},
+	}
+	helpDemo = helpText{
+		short: "Runs a small whole system and prints what each rank of work got.",
+		more:  "Everything runs in this process on loopback, for about ten seconds.",
+	}
+	helpVersion  = helpText{short: "Prints the version."}
+	helpSettings = helpText{
+		short: "Checks, changes and shows the settings tree.",
+		more: `The tree is one JSON document with the levels root, service, call path and
+rank; each level sets only what differs. FILE is a document, - standard input.`,
+		examples: []string{
+			"fuchsiavane settings show > site.json",
+			"fuchsiavane settings diff site.json",
+			"fuchsiavane settings apply -wait site.json",
+		},
+	}
+	helpCheck = helpText{
+		short:    "Reports every finding in a document, with JSON pointer and line.",
+		more:     "A document with a finding is never accepted. Needs neither store nor daemon.",
+		examples: []string{"fuchsiavane settings check site.json", "fuchsiavane settings check -json - < site.json"},
+	}
+	helpDiff = helpText{
+		short: "Lists the settings in which a document differs from those in force.",
+		more: `The comparison is by setting: layout and the order of keys don't count. With
+-revision the document is compared with that revision; with two files, no store
+is needed.`,
+		examples: []string{
+			"fuchsiavane settings diff site.json",
+			"fuchsiavane settings diff -revision 41 site.json",
+			"fuchsiavane settings diff old.json new.json",
+		},
+	}
+	helpApply = helpText{
+		short: "Makes a document the settings in force.",
+		more: `If another operator's edit comes first, nothing is changed, the command shows
+what they changed, and exits with 3. -base names the revision that your document
+was made from; without it, the edit builds on the revision found at the start. A
+lost answer to a write that took effect is recognised as success.
+
+With -wait the command returns when the live daemons have the revision in force,
+and names those that don't have it in time.`,
+		examples: []string{
+			"fuchsiavane settings apply site.json",
+			"fuchsiavane settings apply -base 41 -wait -daemon http://10.0.1.7:7403 site.json",
+			"fuchsiavane settings show -revision 40 | fuchsiavane settings apply -",
+		},
+	}
+	helpShow = helpText{
+		short:    "Prints the document in force, or an earlier revision of it.",
+		examples: []string{"fuchsiavane settings show", "fuchsiavane settings show -revision 40"},
+	}
+	helpHistory = helpText{
+		short:    "Lists the latest accepted edits, newest first.",
+		more:     "\"settings show -revision N\" prints the document of each.",
+		examples: []string{"fuchsiavane settings history -limit 10"},
+	}
+	helpEffective = helpText{
+		short: "Shows each value for a call, and the level that sets it.",
+		more:  "Reads the document in force, or FILE if it is given.",
+		examples: []string{
+			"fuchsiavane settings effective -service registry -method POST -path /rulings",
+			"fuchsiavane settings effective -service registry -rank bulk site.json",
+		},
+	}
+	helpStatus = helpText{
+		short: "Shows a daemon and the peers that it knows.",
+		examples: []string{
+			"fuchsiavane status -daemon http://10.0.1.7:7403",
+			"fuchsiavane status -watch",
+		},
+	}
+	helpDrain = helpText{
+		short: "Begins the planned stop of an instance's daemon.",
+		more: `The daemon tells its peers, refuses new work as not-run, finishes what runs and
+exits. INSTANCE is found among the peers of the daemon given by -daemon.`,
+		examples: []string{"fuchsiavane drain -daemon http://10.0.1.7:7403 registry-2"},
+	}
+)
--- a/node/cli/settings.go
+++ b/node/cli/settings.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"encoding/json"
 	"flag"
 	"fmt"
 	"io"
 	"os"
+	"text/tabwriter"
+	"time"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 	"github.com/pkg/errors"
@@ -17,92 +20,162 @@
 )
 
 func (c *command) settingsTree() *ffcli.Command {
-	return c.group("settings", "fuchsiavane settings COMMAND", "Checks, changes and shows the settings tree.",
-		c.leaf("check", "fuchsiavane settings check FILE", "Reports every finding in a document.", nil, c.check),
+	return c.group("settings", "fuchsiavane settings COMMAND [flags]", helpSettings,
+		c.leaf(leaf{name: "check", usage: "fuchsiavane settings check FILE", help: helpCheck, exec: c.check}),
+		c.diffCommand(),
 		c.applyCommand(),
-		c.leaf("show", "fuchsiavane settings show -platform URL", "Prints the document in the store.", c.platformFlag, c.show),
+		c.showCommand(),
+		c.historyCommand(),
 		c.effectiveCommand(),
 	)
 }
 
 func (c *command) check(_ context.Context, args []string) error {
-	document, err := c.readDocument(args)
-	if err != nil {
+	if _, err := c.readChecked(args); err != nil {
 		return err
 	}
-	if _, findings := settings.Parse(document); len(findings) > 0 {
-		return findings
+	if c.json {
+		return c.printJSON(settings.Findings{})
 	}
-	_, err = fmt.Fprintln(c.Out, "no findings")
+	_, err := fmt.Fprintln(c.Out, "no findings")
 	return err
 }
 
-func (c *command) applyCommand() *ffcli.Command {
-	var author string
-	var base uint64
-	return c.leaf("apply", "fuchsiavane settings apply -platform URL FILE", "Makes a document the settings in force.",
-		func(fs *flag.FlagSet) {
+func (c *command) diffCommand() *ffcli.Command {
+	var revision uint64
+	return c.leaf(leaf{
+		name: "diff", usage: "fuchsiavane settings diff [-platform URL] [-revision N] FILE", help: helpDiff,
+		define: func(fs *flag.FlagSet) {
 			c.platformFlag(fs)
-			fs.StringVar(&author, "author", os.Getenv("USER"), "`name` kept with the edit")
-			fs.Uint64Var(&base, "base", 0, "`revision` that the edit builds on; 0: the newest")
+			revisionFlag(fs, &revision)
 		},
-		func(ctx context.Context, args []string) error { return c.apply(ctx, args, author, base) })
+		exec: func(ctx context.Context, args []string) error { return c.diff(ctx, args, revision) },
+	})
 }
 
-func (c *command) apply(ctx context.Context, args []string, author string, base uint64) error {
-	document, err := c.readDocument(args)
-	if err != nil {
-		return err
+func (c *command) diff(ctx context.Context, args []string, revision uint64) error {
+	var before []byte
+	var err error
+	if len(args) == 2 {
+		before, err = c.readChecked(args[:1])
+		args = args[1:]
+	} else {
+		before, err = c.storedDocument(ctx, revision)
 	}
-	store, err := c.store()
 	if err != nil {
 		return err
 	}
-	var on *uint64
-	if base > 0 {
-		on = &base
-	}
-	head, err := edit.Apply(ctx, store, document, author, on)
+	after, err := c.readChecked(args)
 	if err != nil {
 		return err
 	}
-	if c.json {
-		return c.printJSON(head)
-	}
-	_, err = fmt.Fprintf(c.Out, "revision %d\n", head.Revision)
-	return err
+	return c.printChanges(settings.Diff(before, after))
 }
 
-func (c *command) show(ctx context.Context, _ []string) error {
-	store, err := c.store()
-	if err != nil {
-		return err
-	}
-	head, _, err := edit.Read(ctx, store)
-	if errors.Is(err, platform.ErrNotFound) {
-		return errors.New("the store holds no settings yet")
+func (c *command) printChanges(changes []settings.Change) error {
+	if c.json {
+		if changes == nil {
+			changes = []settings.Change{}
+		}
+		return c.printJSON(changes)
 	}
-	if err != nil {
+	if len(changes) == 0 {
+		_, err := fmt.Fprintln(c.Out, "no differences")
 		return err
 	}
+	return writeChanges(c.Out, changes)
+}
+
+func writeChanges(w io.Writer, changes []settings.Change) error {
+	for _, change := range changes {
+		if _, err := fmt.Fprintln(w, change); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// shown is a stored document as show prints it.
+type shown struct {
+	edit.Stamp
+	Document json.RawMessage `json:"document"`
+}
+
+func (c *command) showCommand() *ffcli.Command {
+	var revision uint64
+	return c.leaf(leaf{
+		name: "show", usage: "fuchsiavane settings show [-platform URL] [-revision N]", help: helpShow,
+		define: func(fs *flag.FlagSet) {
+			c.platformFlag(fs)
+			revisionFlag(fs, &revision)
+		},
+		exec: func(ctx context.Context, args []string) error {
+			if err := noArguments(args); err != nil {
+				return err
+			}
+			head, err := c.stored(ctx, revision)
+			if err != nil {
+				return err
+			}
+			if c.json {
+				return c.printJSON(shown{head.Stamp, head.Document})
+			}
+			_, err = c.Out.Write(head.Document)
+			return err
+		},
+	})
+}
+
+func (c *command) historyCommand() *ffcli.Command {
+	var limit int
+	return c.leaf(leaf{
+		name: "history", usage: "fuchsiavane settings history [-platform URL] [-limit N]", help: helpHistory,
+		define: func(fs *flag.FlagSet) {
+			c.platformFlag(fs)
+			fs.IntVar(&limit, "limit", 20, "most `edits` shown")
+		},
+		exec: func(ctx context.Context, args []string) error {
+			if err := noArguments(args); err != nil {
+				return err
+			}
+			head, err := c.stored(ctx, 0)
+			if err != nil {
+				return err
+			}
+			edits := append([]edit.Stamp{head.Stamp}, head.Recent...)
+			return c.printHistory(edits[:min(max(limit, 0), len(edits))])
+		},
+	})
+}
+
+func (c *command) printHistory(edits []edit.Stamp) error {
 	if c.json {
-		return c.printJSON(head)
+		return c.printJSON(edits)
 	}
-	_, err = c.Out.Write(head.Document)
-	return err
+	table := tabwriter.NewWriter(c.Out, 0, 8, 2, ' ', 0)
+	fmt.Fprintln(table, "REVISION\tAT\tAUTHOR\tEDIT")
+	for _, e := range edits {
+		fmt.Fprintf(table, "%d\t%s\t%s\t%s\n", e.Revision, e.At.Format(time.RFC3339), e.Author, e.EditID)
+	}
+	return table.Flush()
 }
 
 func (c *command) effectiveCommand() *ffcli.Command {
 	var service, method, path, rank string
-	return c.leaf("effective", "fuchsiavane settings effective -service NAME FILE", "Shows each value for a call and the level that it comes from.",
-		func(fs *flag.FlagSet) {
-			fs.StringVar(&service, "service", "", "`name` of the service")
+	return c.leaf(leaf{
+		name: "effective", usage: "fuchsiavane settings effective -service NAME [-method M] [-path P] [-rank R] [FILE]", help: helpEffective,
+		define: func(fs *flag.FlagSet) {
+			c.platformFlag(fs)
+			fs.StringVar(&service, "service", "", "`name` of the service (required)")
 			fs.StringVar(&method, "method", "GET", "HTTP `method`")
 			fs.StringVar(&path, "path", "/", "`path` of the call")
 			fs.StringVar(&rank, "rank", "", "`rank` that the caller asks for")
 		},
-		func(_ context.Context, args []string) error {
-			text, err := c.readDocument(args)
+		exec: func(ctx context.Context, args []string) error {
+			if service == "" {
+				return usagef("-service is needed")
+			}
+			text, err := c.givenOrStored(ctx, args)
 			if err != nil {
 				return err
 			}
@@ -111,19 +184,36 @@
 				return findings
 			}
 			return c.printEffective(document.Effective(service, method, path, rank))
-		})
+		},
+	})
 }
 
 func (c *command) printEffective(values []settings.EffectiveValue) error {
 	if c.json {
 		return c.printJSON(values)
 	}
+	table := tabwriter.NewWriter(c.Out, 0, 8, 2, ' ', 0)
+	fmt.Fprintln(table, "SETTING\tVALUE\tSET BY")
 	for _, v := range values {
-		if _, err := fmt.Fprintf(c.Out, "%-14s %-24v %s\n", v.Key, v.Value, v.Level); err != nil {
-			return err
-		}
+		fmt.Fprintf(table, "%s\t%v\t%s\n", v.Key, v.Value, v.Level)
 	}
-	return nil
+	return table.Flush()
+}
+
+func revisionFlag(fs *flag.FlagSet, revision *uint64) {
+	fs.Uint64Var(revision, "revision", 0, "`revision` of the settings; 0 is the one in force")
+}
+
+// readChecked reads the one FILE argument and checks it.
+func (c *command) readChecked(args []string) ([]byte, error) {
+	document, err := c.readDocument(args)
+	if err != nil {
+		return nil, err
+	}
+	if _, findings := settings.Parse(document); len(findings) > 0 {
+		return nil, findings
+	}
+	return document, nil
 }
 
 // readDocument reads the one FILE argument; "-" is standard input.
@@ -138,6 +228,49 @@
 	return document, errors.WithStack(err)
 }
 
+func (c *command) givenOrStored(ctx context.Context, args []string) ([]byte, error) {
+	if len(args) > 0 {
+		return c.readDocument(args)
+	}
+	return c.storedDocument(ctx, 0)
+}
+
+func (c *command) storedDocument(ctx context.Context, revision uint64) ([]byte, error) {
+	head, err := c.stored(ctx, revision)
+	return head.Document, err
+}
+
+// stored reads a revision from the store; 0 is the one in force.
+func (c *command) stored(ctx context.Context, revision uint64) (edit.Head, error) {
+	store, err := c.store()
+	if err != nil {
+		return edit.Head{}, err
+	}
+	var head edit.Head
+	if revision == 0 {
+		head, _, err = edit.Read(ctx, store)
+	} else {
+		head, err = edit.At(ctx, store, revision)
+	}
+	if errors.Is(err, platform.ErrNotFound) {
+		return head, errors.New("the store holds no settings yet: make them with \"settings apply\"")
+	}
+	return head, c.away(err)
+}
+
+// away explains a failure of the store.
+func (c *command) away(err error) error {
+	var findings settings.Findings
+	var uncertain *edit.UncertainError
+	switch {
+	case err == nil, errors.As(err, &findings), errors.As(err, &uncertain):
+		return err
+	case errors.Is(err, edit.ErrConflict), errors.Is(err, edit.ErrNotKept), errors.Is(err, edit.ErrAuthor):
+		return err
+	}
+	return errors.Wrapf(err, "the platform's store at %s can't be used", c.platform)
+}
+
 func (c *command) store() (platform.Store, error) {
 	if c.platform == "" {
 		return nil, usagef("-platform (or %s_PLATFORM) is needed", envPrefix)
--- a/node/cli/status.go
+++ b/node/cli/status.go
@@ -2,70 +2,137 @@
 
 import (
 	"context"
+	"flag"
 	"fmt"
-	"net/http"
 	"strings"
 	"text/tabwriter"
 	"time"
 
-	"github.com/dghubble/sling"
 	"github.com/peterbourgon/ff/v3/ffcli"
 	"github.com/pkg/errors"
 
 	"fuchsiavane.org/node/admin"
 )
 
-// adminTimeout bounds one call to an admin port.
-const adminTimeout = 5 * time.Second
-
 func (c *command) statusCommand() *ffcli.Command {
-	return c.leaf("status", "fuchsiavane status -daemon URL", "Shows a daemon and the peers that it knows.", c.daemonFlag, c.status)
+	var watch bool
+	var interval time.Duration
+	return c.leaf(leaf{
+		name: "status", usage: "fuchsiavane status [-daemon URL] [-watch]", help: helpStatus,
+		define: func(fs *flag.FlagSet) {
+			c.daemonFlag(fs)
+			fs.BoolVar(&watch, "watch", false, "show again and again until interrupted")
+			fs.DurationVar(&interval, "interval", 2*time.Second, "`pause` between two looks of -watch")
+		},
+		exec: func(ctx context.Context, args []string) error {
+			if err := noArguments(args); err != nil {
+				return err
+			}
+			if watch {
+				return c.watchStatus(ctx, interval)
+			}
+			return c.status(ctx)
+		},
+	})
+}
+
+// watchStatus shows the status until the context ends. A daemon that does not
+// answer is reported and asked again.
+func (c *command) watchStatus(ctx context.Context, interval time.Duration) error {
+	if interval <= 0 {
+		return usagef("-interval must be above 0")
+	}
+	for {
+		if !c.json {
+			fmt.Fprintf(c.Out, "\n%s\n", time.Now().Format(time.TimeOnly))
+		}
+		if err := c.status(ctx); err != nil && ctx.Err() == nil {
+			fmt.Fprintln(c.Err, err)
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(interval):
+		}
+	}
 }
 
-func (c *command) status(context.Context, []string) error {
-	var s admin.Status
-	if err := c.admin(c.adminBase().Get("status"), &s); err != nil {
+func (c *command) status(ctx context.Context) error {
+	s, err := c.statusOf(ctx, c.daemon)
+	if err != nil {
 		return err
 	}
 	if c.json {
 		return c.printJSON(s)
 	}
-	fmt.Fprintf(c.Out, "%s %s: %s, settings revision %d, %d running, %d queued\n",
-		s.Service, s.Instance, s.Life, s.SettingsRevision, s.Running, s.Queued)
+	fmt.Fprintf(c.Out, "%s %s: %s, settings revision %d, %d running, %d queued, %d peers\n",
+		s.Service, s.Instance, s.Life, s.SettingsRevision, s.Running, s.Queued, len(s.Peers))
 	table := tabwriter.NewWriter(c.Out, 0, 8, 2, ' ', 0)
-	fmt.Fprintln(table, "INSTANCE\tSERVICE\tREGION\tDATA CENTRE\tSTATE")
+	fmt.Fprintln(table, "INSTANCE\tSERVICE\tREGION\tDATA CENTRE\tSTATE\tSETTINGS")
 	for _, p := range s.Peers {
-		fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%s\n", p.ID, p.Service, p.Region, p.DataCentre, p.State)
+		fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%s\t%s\n", p.ID, p.Service, p.Region, p.DataCentre, p.State, revisionText(p.SettingsRevision))
 	}
 	return table.Flush()
 }
 
+func revisionText(revision uint64) string {
+	if revision == 0 {
+		return "-"
+	}
+	return fmt.Sprint(revision)
+}
+
 func (c *command) drainCommand() *ffcli.Command {
-	return c.leaf("drain", "fuchsiavane drain -daemon URL", "Begins the planned stop of a daemon.", c.daemonFlag,
-		func(context.Context, []string) error {
-			if err := c.admin(c.adminBase().Post("drain"), nil); err != nil {
-				return err
+	return c.leaf(leaf{
+		name: "drain", usage: "fuchsiavane drain [-daemon URL] INSTANCE", help: helpDrain, define: c.daemonFlag,
+		exec: func(ctx context.Context, args []string) error {
+			if len(args) != 1 {
+				return usagef("one INSTANCE is needed")
 			}
-			_, err := fmt.Fprintln(c.Out, "draining")
-			return err
-		})
+			return c.drain(ctx, args[0])
+		},
+	})
 }
 
-func (c *command) adminBase() *sling.Sling {
-	return sling.New().Client(&http.Client{Timeout: adminTimeout}).Base(strings.TrimSuffix(c.daemon, "/") + "/")
+// drained is the result of drain.
+type drained struct {
+	Instance string `json:"instance"`
+	Draining bool   `json:"draining"`
 }
 
-func (c *command) admin(s *sling.Sling, into any) error {
-	request, err := s.Request()
+func (c *command) drain(ctx context.Context, instance string) error {
+	s, err := c.statusOf(ctx, c.daemon)
 	if err != nil {
-		return usageError{err}
+		return err
 	}
-	response, err := s.Do(request, into, nil)
+	base, err := c.adminOf(s, instance)
 	if err != nil {
-		return errors.Wrap(err, "daemon")
+		return err
 	}
-	if response.StatusCode >= 300 {
-		return errors.Errorf("daemon: status %d", response.StatusCode)
+	if err := c.askAdmin(ctx, adminBase(base).Post("drain"), base, nil); err != nil {
+		return err
+	}
+	if c.json {
+		return c.printJSON(drained{instance, true})
+	}
+	_, err = fmt.Fprintf(c.Out, "%s is draining\n", instance)
+	return err
+}
+
+// adminOf returns the admin base URL of an instance that a daemon knows.
+func (c *command) adminOf(s admin.Status, instance string) (string, error) {
+	if s.Instance == instance {
+		return c.daemon, nil
+	}
+	names := make([]string, 0, len(s.Peers))
+	for _, p := range s.Peers {
+		if p.ID == instance && p.Admin != "" {
+			return "http://" + p.Admin, nil
+		}
+		if p.ID == instance {
+			return "", errors.Errorf("the admin address of %s is not known to %s: give it as -daemon", instance, s.Instance)
+		}
+		names = append(names, p.ID)
 	}
-	return nil
+	return "", errors.Errorf("instance %q is not known to %s, which knows %s", instance, s.Instance, strings.Join(names, ", "))
 }
--- a/node/config/config.go
+++ b/node/config/config.go
@@ -4,9 +4,8 @@
 
 import (
 	"flag"
-	"fmt"
 	"io"
-	"net"
+	"net/netip"
 	"net/url"
 	"strings"
 
@@ -25,36 +24,40 @@
 	Upstream, Platform, Peers, LinkKey, LogLevel, FileName string
 }
 
-// Findings lists every fault of the process settings.
-type Findings []string
-
-// Error implements error.
-func (f Findings) Error() string { return strings.Join(f, "\n") }
-
-// Parse reads the settings. The error is Findings, flag.ErrHelp or a fault of
-// the arguments or the file.
+// Parse reads the settings. The error is Findings or flag.ErrHelp, after which
+// the usage has been written.
 func Parse(args []string, usage io.Writer) (Config, error) {
 	var c Config
-	fs := flag.NewFlagSet("fuchsiavaned", flag.ContinueOnError)
+	fs := newFlagSet(&c)
 	fs.SetOutput(usage)
-	c.define(fs)
-	err := ff.Parse(fs, args,
+	r := &reader{flags: fs, from: map[string]string{}}
+	given, err := r.commandLine(args)
+	if err != nil {
+		fs.Usage()
+		return c, err
+	}
+	r.environment()
+	err = ff.Parse(fs, given,
 		ff.WithEnvVarPrefix(EnvPrefix),
 		ff.WithConfigFileFlag("config"),
-		ff.WithConfigFileParser(ff.JSONParser),
+		ff.WithConfigFileParser(r.file),
 	)
 	if err != nil {
-		return c, err
+		r.add(r.place("config"), "%v", err)
 	}
-	if fs.NArg() > 0 {
-		return c, Findings{fmt.Sprintf("argument %q: no arguments are taken", fs.Arg(0))}
-	}
-	if findings := c.check(); len(findings) > 0 {
-		return c, findings
+	c.check(r)
+	if len(r.findings) > 0 {
+		return c, r.findings
 	}
 	return c, nil
 }
 
+func newFlagSet(c *Config) *flag.FlagSet {
+	fs := flag.NewFlagSet("fuchsiavaned", flag.ContinueOnError)
+	c.define(fs)
+	return fs
+}
+
 func (c *Config) define(fs *flag.FlagSet) {
 	fs.StringVar(&c.FileName, "config", "", "JSON `file` with these settings")
 	fs.StringVar(&c.InstanceID, "instance-id", "", "`name` of this instance, unique in the fleet (required)")
@@ -72,45 +75,73 @@
 	fs.StringVar(&c.LogLevel, "log-level", "info", "least `level` logged: debug, info, warn or error")
 }
 
-func (c *Config) check() Findings {
-	var findings Findings
-	add := func(name, format string, args ...any) {
-		findings = append(findings, "-"+name+": "+fmt.Sprintf(format, args...))
-	}
+func (c *Config) check(r *reader) {
+	add := func(name, format string, args ...any) { r.add(r.place(name), format, args...) }
 	for _, f := range []struct{ name, value string }{
 		{"instance-id", c.InstanceID},
 		{"service", c.Service},
 		{"region", c.Region},
 		{"data-centre", c.DataCentre},
 	} {
-		if f.value == "" || strings.ContainsAny(f.value, "/ \t\n") || len(f.value) > 128 {
-			add(f.name, "%q is not a name of 1 to 128 characters without spaces and slashes", f.value)
-		}
-	}
-	for _, f := range []struct{ name, value string }{
-		{"caller-listen", c.CallerListen},
-		{"local-listen", c.LocalListen},
-		{"peer-listen", c.PeerListen},
-		{"admin-listen", c.AdminListen},
-	} {
-		if _, err := net.ResolveTCPAddr("tcp", f.value); err != nil || f.value == "" {
-			add(f.name, "%q is not host:port", f.value)
+		if !isName(f.value) {
+			add(f.name, "%q is not a name of 1 to %d characters without spaces and slashes", f.value, maxNameBytes)
 		}
 	}
+	c.checkListens(add)
 	for _, f := range []struct{ name, value string }{{"upstream", c.Upstream}, {"platform", c.Platform}} {
 		if u, err := url.Parse(f.value); err != nil || u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
 			add(f.name, "%q is not a base URL such as http://127.0.0.1:8080", f.value)
 		}
 	}
 	for _, peer := range c.PeerList() {
-		if _, _, err := net.SplitHostPort(peer); err != nil {
-			add("peers", "%q is not host:port", peer)
+		if _, err := parseAddr(peer); err != nil {
+			add("peers", "%q %v", peer, err)
 		}
 	}
 	if _, err := ParseLevel(c.LogLevel); err != nil {
 		add("log-level", "%v", err)
 	}
-	return findings
+}
+
+// maxNameBytes bounds the names of instances, services, regions and data
+// centres.
+const maxNameBytes = 128
+
+func isName(s string) bool {
+	bad := func(r rune) bool { return r <= ' ' || r == 0x7f || r == '/' }
+	return s != "" && len(s) <= maxNameBytes && !strings.ContainsFunc(s, bad)
+}
+
+func (c *Config) checkListens(add func(name, format string, args ...any)) {
+	taken := map[netip.AddrPort]string{}
+	for _, f := range []struct{ name, value string }{
+		{"caller-listen", c.CallerListen},
+		{"local-listen", c.LocalListen},
+		{"peer-listen", c.PeerListen},
+		{"admin-listen", c.AdminListen},
+	} {
+		addr, err := parseAddr(f.value)
+		if err != nil {
+			add(f.name, "%q %v", f.value, err)
+			continue
+		}
+		if other, twice := taken[addr]; twice {
+			add(f.name, "%q is the address of -%s too", f.value, other)
+		}
+		taken[addr] = f.name
+		if f.name == "peer-listen" && addr.Addr().IsUnspecified() {
+			add(f.name, "%q is no address that peers could reach: give the instance's own", f.value)
+		}
+	}
+}
+
+// parseAddr parses an IP number with a port.
+func parseAddr(s string) (netip.AddrPort, error) {
+	addr, err := netip.ParseAddrPort(s)
+	if err != nil || addr.Port() == 0 {
+		return netip.AddrPort{}, errors.New("is not an IP number with a port such as 10.0.1.7:7402")
+	}
+	return addr, nil
 }
 
 // PeerList returns the addresses of Peers.
--- a/node/daemon/daemon.go
+++ b/node/daemon/daemon.go
@@ -75,7 +75,7 @@
 		Instance: c.InstanceID, Settings: d.settings, Picker: d.picker, Transport: d.pool,
 		Own: d.runner, Runs: table, Observer: d.metrics, Log: log,
 	})
-	self := route.Peer{ID: c.InstanceID, Service: c.Service, Region: c.Region, DataCentre: c.DataCentre, Addr: c.PeerListen}
+	self := route.Peer{ID: c.InstanceID, Service: c.Service, Region: c.Region, DataCentre: c.DataCentre, Addr: c.PeerListen, Admin: c.AdminListen}
 	d.found = discovery.New(self, store, d.picker, log)
 	d.metrics.Gauge("fuchsiavane_running", func() float64 { running, _ := d.gate.Load(); return float64(running) })
 	d.metrics.Gauge("fuchsiavane_queued", func() float64 { _, queued := d.gate.Load(); return float64(queued) })
@@ -180,9 +180,9 @@
 
 // Status implements admin.Daemon.
 func (d *Daemon) Status() admin.Status {
-	life := "serving"
+	life := admin.StateServing
 	if !d.Ready() {
-		life = "leaving"
+		life = admin.StateLeaving
 	}
 	running, queued := d.gate.Load()
 	s := admin.Status{
@@ -191,12 +191,12 @@
 		SettingsRevision: d.settings.Current().Revision, Running: running, Queued: queued,
 	}
 	for _, p := range d.picker.Peers() {
-		state := "serving"
+		state := admin.StateServing
 		if p.Leaving {
-			state = "leaving"
+			state = admin.StateLeaving
 		}
 		s.Peers = append(s.Peers, admin.Peer{
-			ID: p.ID, Service: p.Service, Region: p.Region, DataCentre: p.DataCentre, Addr: p.Addr, State: state,
+			ID: p.ID, Service: p.Service, Region: p.Region, DataCentre: p.DataCentre, Addr: p.Addr, Admin: p.Admin, State: state,
 		})
 	}
 	return s
