Run non-idempotent keys at most once by claims on birth times

Nothing kept a non-idempotent request from running twice when its caller sent it again. Keys now belong to shards whose owners hold intervals of birth times in the store (core/once), a server in front of the runner asks what may run (node/once), and the entry daemon sends a key to its owner (gateway/owner.go). Retries back off and are bounded by a ratio per service and per caller.

--- /dev/null
+++ b/core/once/key.go
@@ -0,0 +1,105 @@
+package once
+
+import (
+	"encoding/binary"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+)
+
+// Shards is the number of shards of each service. It is a part of the records
+// in the platform's store and never changes.
+const Shards = 128
+
+// Key is an idempotency key with a birth time: a UUIDv7.
+type Key [16]byte
+
+// uuidTextBytes is the length of a UUID in its text form. Source: RFC 9562,
+// section 4.
+const uuidTextBytes = 36
+
+// ErrNoBirth means that a key has no birth time.
+var ErrNoBirth = errors.New("once: the key is not a UUIDv7")
+
+// ParseKey parses the text form of a UUIDv7. Letter case doesn't matter. Source:
+// RFC 9562, sections 4 and 5.7.
+func ParseKey(text string) (Key, error) {
+	var k Key
+	if len(text) != uuidTextBytes {
+		return k, ErrNoBirth
+	}
+	digits := 0
+	for i := range len(text) {
+		if i == 8 || i == 13 || i == 18 || i == 23 {
+			if text[i] != '-' {
+				return k, ErrNoBirth
+			}
+			continue
+		}
+		nibble, ok := hexDigit(text[i])
+		if !ok {
+			return k, ErrNoBirth
+		}
+		k[digits/2] = k[digits/2]<<4 | nibble
+		digits++
+	}
+	if k[6]>>4 != 7 || k[8]>>6 != 2 {
+		return Key{}, ErrNoBirth
+	}
+	return k, nil
+}
+
+func hexDigit(c byte) (byte, bool) {
+	switch {
+	case c >= '0' && c <= '9':
+		return c - '0', true
+	case c >= 'a' && c <= 'f':
+		return c - 'a' + 10, true
+	case c >= 'A' && c <= 'F':
+		return c - 'A' + 10, true
+	}
+	return 0, false
+}
+
+// Birth returns the birth time that the key carries.
+func (k Key) Birth() Millis {
+	return Millis(binary.BigEndian.Uint64(k[:8]) >> 16)
+}
+
+// Shard returns the key's shard.
+func (k Key) Shard() int { return int(xxhash.Sum64(k[:]) % Shards) }
+
+// Millis is a birth time in milliseconds since the Unix epoch.
+type Millis int64
+
+// MillisOf returns the birth time of a key that is made at t.
+func MillisOf(t time.Time) Millis { return Millis(t.UnixMilli()) }
+
+// Add returns m plus d.
+func (m Millis) Add(d time.Duration) Millis { return m + Millis(d.Milliseconds()) }
+
+// Sub returns the duration from o to m.
+func (m Millis) Sub(o Millis) time.Duration { return time.Duration(m-o) * time.Millisecond }
+
+// Preferred returns which of several instances a shard should belong to, by
+// rendezvous hash, or "" if there is none. It is a hint: the store's record
+// decides.
+func Preferred(shard int, instances []string) string {
+	var best string
+	var highest uint64
+	for _, id := range instances {
+		if score := score(shard, id); best == "" || score > highest || (score == highest && id < best) {
+			best, highest = id, score
+		}
+	}
+	return best
+}
+
+func score(shard int, id string) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(id)
+	_, _ = d.Write([]byte{0, byte(shard >> 8), byte(shard)})
+	return d.Sum64()
+}
--- /dev/null
+++ b/core/once/once_test.go
@@ -0,0 +1,199 @@
+package once
+
+import (
+	"encoding/binary"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+// keyIn makes a key of a shard with a birth time.
+func keyIn(shard int, birth Millis) Key {
+	var k Key
+	for n := uint32(0); ; n++ {
+		binary.BigEndian.PutUint64(k[:8], uint64(birth)<<16|0x7000)
+		binary.BigEndian.PutUint32(k[8:12], 0x80000000|n)
+		if k.Shard() == shard {
+			return k
+		}
+	}
+}
+
+func TestParseKey(t *testing.T) {
+	is := is.New(t)
+	lower, err := ParseKey("017f22e2-79b0-7cc3-98c4-dc0c0c07398f") // RFC 9562, appendix A.6
+	is.NoErr(err)
+	is.Equal(lower.Birth(), Millis(1645557742000))
+	upper, err := ParseKey("017F22E2-79B0-7CC3-98C4-DC0C0C07398F")
+	is.NoErr(err)
+	is.Equal(lower, upper)
+	for _, text := range []string{"", "bib-17", "017f22e2-79b0-4cc3-98c4-dc0c0c07398f", "017f22e2-79b0-7cc3-18c4-dc0c0c07398f", "017f22e2+79b0-7cc3-98c4-dc0c0c07398f"} {
+		_, err := ParseKey(text)
+		is.Equal(err, ErrNoBirth)
+	}
+}
+
+// run is one holder of the property test.
+type run struct {
+	holder Holder
+	owner  *Owner[int]
+	gone   bool
+}
+
+// TestNoKeyRunsTwice edits one table by many holders that die, are taken for
+// dead, leave, or act on tables that they read long ago.
+func TestNoKeyRunsTwice(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const shard = 5
+		policy := Policy{Length: 100 * time.Millisecond}
+		limits := Limits{Keys: 50, AnswerBytes: 10, Memory: time.Hour}
+		var table Table
+		var runs []*run
+		ran := map[Key]int{}
+		now := Millis(1000)
+		started := 0
+		start := func(instance int) *run {
+			started++
+			return &run{holder: Holder{fmt.Sprint("i", instance), fmt.Sprint(started)}, owner: NewOwner[int](limits)}
+		}
+		for i := range 3 {
+			runs = append(runs, start(i))
+		}
+		for range rapid.IntRange(20, 120).Draw(t, "steps") {
+			at := rapid.IntRange(0, 2).Draw(t, "run")
+			r := runs[at]
+			switch rapid.IntRange(0, 5).Draw(t, "step") {
+			case 0:
+				now += Millis(rapid.IntRange(0, 80).Draw(t, "wait"))
+			case 1: // plan with any view of who lives
+				live := []string{r.holder.Instance}
+				for _, other := range runs {
+					if other != r && rapid.Bool().Draw(t, "sees") {
+						live = append(live, other.holder.Instance)
+					}
+				}
+				if !r.gone {
+					table, _ = table.Plan(r.holder, live, now, policy)
+				}
+				if rapid.Bool().Draw(t, "learns") {
+					r.owner.Hold(table.Claims(r.holder))
+				}
+			case 2: // leave, with the store's answer or the write lost at will
+				r.gone = true
+				ends := r.owner.Cut()
+				if rapid.Bool().Draw(t, "released") {
+					table, _ = table.Release(r.holder, ends)
+				}
+			case 3: // crash and start again
+				runs[at] = start(at)
+			default:
+				birth := max(now+Millis(rapid.IntRange(-150, 60).Draw(t, "birth")), 0)
+				k := keyIn(shard, birth)
+				if verdict, e := r.owner.Arrive(k, 1); verdict == Run {
+					ran[k]++
+					r.owner.EndUnknown(e)
+				}
+				if ran[k] > 1 {
+					t.Fatalf("key born at %d ran %d times", birth, ran[k])
+				}
+			}
+		}
+	})
+}
+
+func TestOwnerKeepsWhatItSaw(t *testing.T) {
+	is := is.New(t)
+	o := NewOwner[string](Limits{Keys: 3, AnswerBytes: 10, Memory: time.Hour})
+	var claims [Shards]Interval
+	claims[1] = Interval{1000, 2000}
+	o.Hold(claims)
+	arrive := func(k Key, print uint64, want Verdict) *Entry[string] {
+		t.Helper()
+		verdict, e := o.Arrive(k, print)
+		is.Equal(verdict, want)
+		return e
+	}
+	a, b, c, d := keyIn(1, 1000), keyIn(1, 1001), keyIn(1, 1999), keyIn(1, 1500)
+	arrive(keyIn(1, 999), 1, Elsewhere)
+	arrive(keyIn(1, 2000), 1, Elsewhere)
+	e := arrive(a, 1, Run)
+	arrive(a, 1, Join)
+	arrive(a, 2, Repeat) // another request under the same key
+	o.EndNotRun(e)
+	e = arrive(a, 1, Run) // may run after all
+	o.EndKept(e, 6)
+	arrive(a, 1, Replay)
+	o.EndUnknown(arrive(b, 1, Run))
+	arrive(b, 1, Repeat)
+	e = arrive(c, 1, Run)
+	arrive(d, 1, Full) // refused rather than forgetting another
+	o.EndKept(e, 6)    // pushes the oldest answer out, not its key
+	arrive(a, 1, Repeat)
+	arrive(c, 1, Replay)
+	is.Equal(o.Cut()[1], Millis(2000))
+	o.Hold(claims)
+	arrive(c, 1, Replay)
+}
+
+func TestForgottenKeysNeverRun(t *testing.T) {
+	is := is.New(t)
+	o := NewOwner[int](Limits{Keys: 1, AnswerBytes: 10, Memory: time.Minute})
+	var claims [Shards]Interval
+	claims[1] = Interval{0, 1 << 40}
+	o.Hold(claims)
+	k := keyIn(1, 100_000)
+	_, e := o.Arrive(k, 1)
+	o.EndKept(e, 1)
+	o.Forget(300_000)
+	verdict, _ := o.Arrive(k, 1)
+	is.Equal(verdict, TooOld)
+	is.Equal(o.Stats(300_000), Stats{Shards: 1, Left: (1<<40 - 300_000) * time.Millisecond})
+	o.Forget(0) // a clock that goes back changes nothing
+	verdict, _ = o.Arrive(k, 1)
+	is.Equal(verdict, TooOld)
+}
+
+func TestHandOver(t *testing.T) {
+	is := is.New(t)
+	policy := Policy{Length: 900 * time.Millisecond}
+	a, b := Holder{"a", "1"}, Holder{"b", "1"}
+	table, changed := Table{}.Plan(a, []string{"a"}, 1000, policy)
+	is.True(changed)
+	for shard := range Shards {
+		is.Equal(table.Shards[shard].Current, Claim{a, Interval{0, 1900}}) // the first claim has all keys born before
+	}
+	_, changed = table.Plan(a, []string{"a"}, 1200, policy)
+	is.True(!changed)
+	_, changed = table.Plan(b, []string{"a", "b"}, 1200, policy)
+	is.True(!changed) // b waits until a's claim is half over
+	table, changed = table.Plan(b, []string{"a", "b"}, 1500, policy)
+	is.True(changed)
+	taken := 0
+	for shard := range Shards {
+		if table.Shards[shard].Current.Holder == b {
+			taken++
+			is.Equal(Preferred(shard, []string{"a", "b"}), "b")
+			is.Equal(table.Shards[shard].Current.From, Millis(1900))
+			holder, place := table.Find(shard, 1899)
+			is.Equal(place, PlaceHeld)
+			is.Equal(holder, a)
+		}
+	}
+	is.True(taken > Shards/4)
+	is.True(taken < Shards*3/4)
+	// a leaves early: b's claims grow downwards, and b takes the others.
+	var ends [Shards]Millis
+	for shard := range ends {
+		ends[shard] = 1600
+	}
+	table, _ = table.Release(a, ends)
+	table, _ = table.Plan(b, []string{"b"}, 1600, policy)
+	for shard := range Shards {
+		holder, place := table.Find(shard, 1600)
+		is.Equal(place, PlaceHeld)
+		is.Equal(holder, b)
+	}
+}
--- /dev/null
+++ b/core/once/owner.go
@@ -0,0 +1,256 @@
+package once
+
+import "time"
+
+// bucketSpan is the span of birth times that is forgotten together.
+const bucketSpan = Millis(60_000)
+
+// Limits bound what an Owner remembers.
+type Limits struct {
+	// Keys bounds the keys remembered. At the bound new keys are refused.
+	Keys int
+	// AnswerBytes bounds the answers kept, all together. At the bound the
+	// oldest answers go; their keys stay.
+	AnswerBytes int
+	// Memory is the age from which keys are refused as too old and forgotten.
+	Memory time.Duration
+}
+
+// State is what the owner knows of a key that it has seen.
+type State int
+
+// States of a key.
+const (
+	// Running keys have a run in progress.
+	Running State = iota
+	// Finished keys ran, and their answer is kept.
+	Finished
+	// Unknown keys ran, or may have run, and no answer is kept.
+	Unknown
+)
+
+// Entry is a key that the owner has seen. A is what the owner's user keeps with
+// it.
+type Entry[A any] struct {
+	State State
+	// Print is the fingerprint of the request that came first.
+	Print uint64
+	// Value is set by the owner's user while Running or Finished.
+	Value A
+	key   Key
+	size  int
+}
+
+// Verdict is what may be done with a key that arrives.
+type Verdict int
+
+// Verdicts.
+const (
+	// Run means: run the request now, and call End after.
+	Run Verdict = iota
+	// Join means: wait for the run in progress and share its answer.
+	Join
+	// Replay means: give the kept answer.
+	Replay
+	// Repeat means that the key has run or may have run, and no answer is kept,
+	// or that it came with another request.
+	Repeat
+	// Elsewhere means that no interval of this owner holds the key.
+	Elsewhere
+	// TooOld means that the key's birth lies in a time that the owner has
+	// forgotten.
+	TooOld
+	// Full means that no more keys can be remembered. The key has not run.
+	Full
+)
+
+// Owner remembers the keys that one holder has seen. It is not safe for
+// concurrent use.
+type Owner[A any] struct {
+	limits  Limits
+	held    [Shards][]Interval
+	latest  [Shards]Millis // birth of the youngest key run, by shard, plus 1
+	cut     bool
+	floor   Millis
+	count   int
+	bytes   int
+	buckets map[Millis]map[Key]*Entry[A]
+	kept    []*Entry[A] // finished with an answer, oldest first
+}
+
+// NewOwner returns an Owner that holds nothing.
+func NewOwner[A any](limits Limits) *Owner[A] {
+	return &Owner[A]{limits: limits, buckets: map[Millis]map[Key]*Entry[A]{}}
+}
+
+// Hold takes the intervals of a table that the store has confirmed. After Cut
+// it does nothing.
+func (o *Owner[A]) Hold(claims [Shards]Interval) {
+	if o.cut {
+		return
+	}
+	for shard, claim := range claims {
+		if claim.From < claim.To {
+			o.held[shard] = hold(o.held[shard], claim)
+		}
+	}
+}
+
+// hold adds a claim to the list, in place of an earlier form of the same claim.
+func hold(held []Interval, claim Interval) []Interval {
+	if n := len(held); n > 0 && held[n-1].From == claim.From {
+		held[n-1].To = max(held[n-1].To, claim.To)
+		return held
+	}
+	return append(held, claim)
+}
+
+// Cut ends the intervals right after the youngest key that has run, for good,
+// and returns these ends. What follows may be given to others.
+func (o *Owner[A]) Cut() [Shards]Millis {
+	o.cut = true
+	for shard := range o.held {
+		for i := range o.held[shard] {
+			h := &o.held[shard][i]
+			h.To = min(h.To, max(h.From, o.latest[shard]))
+		}
+	}
+	return o.latest
+}
+
+// Arrive decides on a key. print is the fingerprint of its request. The entry
+// is nil for Elsewhere, TooOld and Full.
+func (o *Owner[A]) Arrive(k Key, print uint64) (Verdict, *Entry[A]) {
+	birth, shard := k.Birth(), k.Shard()
+	if !o.holds(shard, birth) {
+		return Elsewhere, nil
+	}
+	if birth < o.floor {
+		return TooOld, nil
+	}
+	if e := o.buckets[birth/bucketSpan][k]; e != nil {
+		return e.verdict(print), e
+	}
+	if o.count >= o.limits.Keys {
+		return Full, nil
+	}
+	e := &Entry[A]{State: Running, Print: print, key: k}
+	o.add(birth, e)
+	o.latest[shard] = max(o.latest[shard], birth+1)
+	return Run, e
+}
+
+func (o *Owner[A]) holds(shard int, birth Millis) bool {
+	for _, h := range o.held[shard] {
+		if h.Holds(birth) {
+			return true
+		}
+	}
+	return false
+}
+
+func (e *Entry[A]) verdict(print uint64) Verdict {
+	switch {
+	case e.Print != print || e.State == Unknown:
+		return Repeat
+	case e.State == Running:
+		return Join
+	}
+	return Replay
+}
+
+func (o *Owner[A]) add(birth Millis, e *Entry[A]) {
+	bucket := o.buckets[birth/bucketSpan]
+	if bucket == nil {
+		bucket = map[Key]*Entry[A]{}
+		o.buckets[birth/bucketSpan] = bucket
+	}
+	bucket[e.key] = e
+	o.count++
+}
+
+// EndNotRun forgets a key that is known not to have run, so that it may run
+// later.
+func (o *Owner[A]) EndNotRun(e *Entry[A]) {
+	bucket := o.buckets[e.key.Birth()/bucketSpan]
+	if bucket[e.key] == e {
+		delete(bucket, e.key)
+		o.count--
+	}
+}
+
+// EndUnknown marks a key that may have run and whose answer is not kept.
+func (o *Owner[A]) EndUnknown(e *Entry[A]) { e.drop() }
+
+// EndKept marks a key that ran and whose answer, of size bytes, is kept in its
+// Value.
+func (o *Owner[A]) EndKept(e *Entry[A], size int) {
+	e.State = Finished
+	e.size = size
+	o.bytes += size
+	o.kept = append(o.kept, e)
+	for o.bytes > o.limits.AnswerBytes {
+		o.bytes -= o.kept[0].size
+		o.kept[0].drop()
+		o.kept = o.kept[1:]
+	}
+}
+
+func (e *Entry[A]) drop() {
+	var none A
+	e.State, e.Value, e.size = Unknown, none, 0
+}
+
+// Forget gives up the keys that are older than the memory. Keys of that age are
+// refused from now on.
+func (o *Owner[A]) Forget(now Millis) {
+	floor := now.Add(-o.limits.Memory) / bucketSpan * bucketSpan
+	if floor <= o.floor {
+		return
+	}
+	o.floor = floor
+	for at, bucket := range o.buckets {
+		if at*bucketSpan < floor {
+			o.count -= len(bucket)
+			delete(o.buckets, at)
+		}
+	}
+	for len(o.kept) > 0 && o.kept[0].key.Birth() < floor {
+		o.bytes -= o.kept[0].size
+		o.kept[0].drop()
+		o.kept = o.kept[1:]
+	}
+	for shard, held := range o.held {
+		for len(held) > 1 && held[0].To <= floor {
+			held = held[1:]
+		}
+		o.held[shard] = held
+	}
+}
+
+// Stats is what an Owner holds.
+type Stats struct {
+	// Shards is the number of shards with an interval that has now.
+	Shards int
+	// Keys and AnswerBytes are what is remembered.
+	Keys, AnswerBytes int
+	// Left is the least time to the end of the intervals that have now.
+	Left time.Duration
+}
+
+// Stats returns what the owner holds at a time.
+func (o *Owner[A]) Stats(now Millis) Stats {
+	s := Stats{Keys: o.count, AnswerBytes: o.bytes}
+	for shard := range o.held {
+		for _, h := range o.held[shard] {
+			if !h.Holds(now) {
+				continue
+			}
+			if left := h.To.Sub(now); s.Shards == 0 || left < s.Left {
+				s.Left = left
+			}
+			s.Shards++
+		}
+	}
+	return s
+}
--- /dev/null
+++ b/core/once/table.go
@@ -0,0 +1,190 @@
+// Package once decides which daemon may run a non-idempotent request, so that
+// no key runs twice.
+//
+// A key belongs to a shard by its hash. A Table, one record in the platform's
+// store for each service, gives each shard to a holder for an interval of birth
+// times; the intervals of one shard never overlap, whoever edits the table. A
+// holder runs only keys born in its intervals and remembers those that it has
+// seen (Owner). The birth time is a label in the key, so clocks that are wrong
+// delay or refuse work, but never run a key twice.
+//
+// The package is pure: time comes in as an argument, tables go out as values.
+package once
+
+import "time"
+
+// Holder names one run of one daemon. A daemon that starts again is another
+// holder, since it has forgotten what it saw.
+type Holder struct {
+	Instance string `json:"i"`
+	// Start tells the runs of one instance apart.
+	Start string `json:"s"`
+}
+
+// Interval is the birth times from From up to, but not with, To.
+type Interval struct {
+	From Millis `json:"f"`
+	To   Millis `json:"t"`
+}
+
+// Holds reports whether a birth time lies in the interval.
+func (i Interval) Holds(birth Millis) bool { return i.From <= birth && birth < i.To }
+
+// Claim is a holder's interval.
+type Claim struct {
+	Holder
+	Interval
+}
+
+// Record is what the table says of one shard.
+type Record struct {
+	// Current is the newest claim.
+	Current Claim `json:"c"`
+	// Before is the claim that ended where Current begins, for finding its
+	// holder. Its holder is empty if there was none.
+	Before Claim `json:"b,omitzero"`
+}
+
+// Table gives the shards of one service to holders. A claim names the run that
+// made it, so whoever reads the table knows which claims are its own, and an
+// edit whose answer was lost needs no settling besides reading again.
+type Table struct {
+	Shards [Shards]Record `json:"shards"`
+}
+
+// Policy is how a holder keeps its claims.
+type Policy struct {
+	// Length is the time that a claim is taken ahead.
+	Length time.Duration
+}
+
+// renewAt is the part of Length below which a holder extends its claim.
+func (p Policy) renewAt() time.Duration { return p.Length * 2 / 3 }
+
+// handOverAt is the part of Length below which the preferred holder claims what
+// follows another holder's claim.
+func (p Policy) handOverAt() time.Duration { return p.Length / 2 }
+
+// keepAt is the part of Length below which a holder extends a claim that
+// another should have taken.
+func (p Policy) keepAt() time.Duration { return p.Length / 3 }
+
+// Plan returns the table as the holder wants it, and whether that differs.
+// live are the instances of the service that take new work, the holder's own
+// among them. A claim only ever begins where the last one ended, and only its
+// holder moves its end. A holder that has died is not hurried: nobody else may
+// run the keys of its claim, and what follows is taken in time in any case.
+func (t Table) Plan(me Holder, live []string, now Millis, p Policy) (Table, bool) {
+	changed := false
+	for shard := range t.Shards {
+		r := &t.Shards[shard]
+		if r.wanted(me, Preferred(shard, live) == me.Instance, now, p) {
+			r.take(me, now, p.Length)
+			changed = true
+		}
+	}
+	return t, changed
+}
+
+// wanted reports whether the holder should extend or take over the shard.
+func (r *Record) wanted(me Holder, preferred bool, now Millis, p Policy) bool {
+	left := r.Current.To.Sub(now)
+	switch {
+	case r.Current.Holder == me && preferred:
+		return left < p.renewAt()
+	case r.Current.Holder == me:
+		return left < p.keepAt()
+	}
+	return preferred && left < p.handOverAt()
+}
+
+// take extends the holder's claim, or begins one where the last ended.
+func (r *Record) take(me Holder, now Millis, length time.Duration) {
+	end := max(r.Current.To, now).Add(length)
+	if r.Current.Holder == me {
+		r.Current.To = max(r.Current.To, now.Add(length))
+		return
+	}
+	begin := r.Current.To
+	if r.Current.From < r.Current.To {
+		r.Before = r.Current
+	}
+	r.Current = Claim{me, Interval{begin, end}}
+}
+
+// Release returns the table with the ends of the holder's claims moved back to
+// the given times, and whether that differs. The holder must already have
+// stopped running keys born at or after these times.
+func (t Table) Release(me Holder, ends [Shards]Millis) (Table, bool) {
+	changed := false
+	for shard := range t.Shards {
+		if t.Shards[shard].release(me, ends[shard]) {
+			changed = true
+		}
+	}
+	return t, changed
+}
+
+func (r *Record) release(me Holder, end Millis) bool {
+	switch {
+	case r.Current.Holder == me && end < r.Current.To:
+		r.Current.To = max(r.Current.From, end)
+		return true
+	case r.Before.Holder == me && end < r.Before.To && r.Before.To == r.Current.From:
+		// The next holder has come already: its claim grows downwards.
+		r.Before.To = max(r.Before.From, end)
+		r.Current.From = r.Before.To
+		return true
+	}
+	return false
+}
+
+// Claims returns the holder's intervals by shard.
+func (t Table) Claims(me Holder) [Shards]Interval {
+	var claims [Shards]Interval
+	for shard := range t.Shards {
+		if t.Shards[shard].Current.Holder == me {
+			claims[shard] = t.Shards[shard].Current.Interval
+		}
+	}
+	return claims
+}
+
+// Due reports whether Plan may want a change of the holder's own claims.
+func (t Table) Due(me Holder, now Millis, p Policy) bool {
+	for shard := range t.Shards {
+		c := &t.Shards[shard].Current
+		if c.Holder == me && c.To.Sub(now) < p.renewAt() {
+			return true
+		}
+	}
+	return false
+}
+
+// Place says what a table knows of a key's holder.
+type Place int
+
+// Places.
+const (
+	// PlaceHeld means that a holder's interval has the key.
+	PlaceHeld Place = iota
+	// PlaceBefore means that the key is older than the intervals in the table.
+	PlaceBefore
+	// PlaceAfter means that no interval reaches as far yet. The holder returned
+	// is the one that may extend its own.
+	PlaceAfter
+)
+
+// Find returns the holder of keys of a shard with a birth time.
+func (t *Table) Find(shard int, birth Millis) (Holder, Place) {
+	r := &t.Shards[shard]
+	switch {
+	case r.Current.Holds(birth):
+		return r.Current.Holder, PlaceHeld
+	case r.Before.Holds(birth):
+		return r.Before.Holder, PlaceHeld
+	case birth >= r.Current.To:
+		return r.Current.Holder, PlaceAfter
+	}
+	return Holder{}, PlaceBefore
+}
--- /dev/null
+++ b/core/retry/backoff.go
@@ -0,0 +1,21 @@
+package retry
+
+import "time"
+
+const (
+	// firstBackoff bounds the wait before the first retry.
+	firstBackoff = 10 * time.Millisecond
+	// maxBackoff bounds every wait.
+	maxBackoff = 500 * time.Millisecond
+)
+
+// Backoff returns the wait before a request is sent again after a number of
+// sends, at least 1. random is a uniform draw from [0, 1): the wait is uniform
+// between half of the bound and the bound, which doubles with each send.
+func Backoff(sends int, random float64) time.Duration {
+	bound := maxBackoff
+	if shift := max(sends, 1) - 1; shift < 6 {
+		bound = min(firstBackoff<<shift, maxBackoff)
+	}
+	return bound/2 + time.Duration(random*float64(bound/2))
+}
--- a/node/call/call.go
+++ b/node/call/call.go
@@ -58,6 +58,9 @@
 	RefusedBadRequest  Refusal = "bad-request"
 	RefusedTooLarge    Refusal = "too-large"
 	RefusedCancelled   Refusal = "cancelled"
+	// RefusedNotOwner is said of a non-idempotent request by an instance that
+	// does not own its key. The instance did not run it.
+	RefusedNotOwner Refusal = "not-owner"
 )
 
 // Request is one call to a service.
@@ -85,6 +88,9 @@
 	Idempotent bool
 	// Key is the idempotency key; never empty for a non-idempotent request.
 	Key string
+	// KeyMade is set at the entry daemon if it made the key itself, so that no
+	// request with this key came before. It doesn't cross links.
+	KeyMade bool
 }
 
 // Answer is the answer to a Request. The receiver closes Body.
--- a/node/daemon/daemon.go
+++ b/node/daemon/daemon.go
@@ -12,12 +12,14 @@
 
 	"fuchsiavane.org/core/route"
 	"fuchsiavane.org/node/admin"
+	"fuchsiavane.org/node/call"
 	"fuchsiavane.org/node/config"
 	"fuchsiavane.org/node/discovery"
 	"fuchsiavane.org/node/event"
 	"fuchsiavane.org/node/gateway"
 	"fuchsiavane.org/node/link"
 	"fuchsiavane.org/node/metrics"
+	"fuchsiavane.org/node/once"
 	"fuchsiavane.org/node/platform"
 	"fuchsiavane.org/node/runs"
 	"fuchsiavane.org/node/settingsync"
@@ -42,6 +44,8 @@
 	listener *link.Listener
 	gate     *upstream.Gate
 	runner   *upstream.Runner
+	own      call.Server // what stands in front of the runner
+	keeper   *once.Keeper
 	gateway  *gateway.Gateway
 	far      *gateway.FarLink
 	metrics  *metrics.Metrics
@@ -71,11 +75,13 @@
 	d.syncer = settingsync.NewSyncer(store, d.settings, log)
 	d.gate = upstream.NewGate(c.Service, d.settings)
 	d.runner = upstream.NewRunner(base, d.gate, table)
+	d.guardOwn(store)
 	d.pool = link.NewPool(identity, log)
-	d.listener = link.NewListener(identity, d.runner, log)
+	d.listener = link.NewListener(identity, d.own, log)
 	d.gateway = gateway.New(gateway.Config{
-		Instance: c.InstanceID, Settings: d.settings, Picker: d.picker, Far: d.far, Transport: d.pool,
-		Own: d.runner, Runs: table, Observer: d.metrics, Log: log,
+		Instance: c.InstanceID, Place: route.Place{Region: c.Region, DataCentre: c.DataCentre},
+		Settings: d.settings, Picker: d.picker, Far: d.far, Transport: d.pool,
+		Own: d.own, Runs: table, Observer: d.metrics, Log: log,
 	})
 	self := route.Peer{ID: c.InstanceID, Service: c.Service, Region: c.Region, DataCentre: c.DataCentre, Addr: c.PeerListen, Admin: c.AdminListen}
 	d.found = discovery.New(self, store, d.picker, log)
@@ -101,6 +107,7 @@
 	group.Go(func() { d.found.Run(duties) })
 	group.Go(func() { d.tick(duties) })
 	group.Go(func() { d.shareLink(duties) })
+	group.Go(func() { d.keeper.Run(duties) })
 	failed := d.ports.serve()
 	d.log.Log(event.DaemonStarted).Str("service", d.config.Service).Str("peer_listen", d.config.PeerListen).Msg("daemon started")
 	select {
@@ -125,7 +132,9 @@
 	defer cancel()
 	stopDuties()
 	duties.Wait()
+	d.releaseClaims(ctx)
 	_ = d.found.Leave(ctx)
+	awaitStragglers(ctx)
 	d.runner.Leave()
 	d.ports.drain(ctx)
 	d.finish(ctx)
--- /dev/null
+++ b/node/daemon/once.go
@@ -0,0 +1,71 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"fuchsiavane.org/node/event"
+	"fuchsiavane.org/node/once"
+	"fuchsiavane.org/node/platform"
+)
+
+// guardOwn puts in front of the runner what decides whether a request may run
+// at all.
+func (d *Daemon) guardOwn(store platform.Store) {
+	d.keeper = once.NewKeeper(once.Config{
+		Instance: d.config.InstanceID, Service: d.config.Service,
+		Store: store, Live: d.liveOfService, Log: d.log,
+	})
+	d.own = once.NewServer(d.keeper, d.runner)
+	d.gaugeClaims()
+}
+
+func (d *Daemon) gaugeClaims() {
+	status := func(read func(once.Status) float64) func() float64 {
+		return func() float64 { return read(d.keeper.Status()) }
+	}
+	d.metrics.Gauge("fuchsiavane_once_shards", status(func(s once.Status) float64 { return float64(s.Shards) }))
+	d.metrics.Gauge("fuchsiavane_once_claim_left_seconds", status(func(s once.Status) float64 { return s.Left.Seconds() }))
+	d.metrics.Gauge("fuchsiavane_once_keys", status(func(s once.Status) float64 { return float64(s.Keys) }))
+	d.metrics.Gauge("fuchsiavane_once_answer_bytes", status(func(s once.Status) float64 { return float64(s.AnswerBytes) }))
+	d.metrics.Gauge("fuchsiavane_once_store_reads_total", status(func(s once.Status) float64 { return float64(s.Reads) }))
+	d.metrics.Gauge("fuchsiavane_once_store_writes_total", status(func(s once.Status) float64 { return float64(s.Writes) }))
+	d.metrics.Gauge(`fuchsiavane_once_keys_total{verdict="run"}`, status(func(s once.Status) float64 { return float64(s.Runs) }))
+	d.metrics.Gauge(`fuchsiavane_once_keys_total{verdict="replayed"}`, status(func(s once.Status) float64 { return float64(s.Joins + s.Replays) }))
+	d.metrics.Gauge(`fuchsiavane_once_keys_total{verdict="unknown"}`, status(func(s once.Status) float64 { return float64(s.Repeats) }))
+	d.metrics.Gauge(`fuchsiavane_once_keys_total{verdict="refused"}`, status(func(s once.Status) float64 { return float64(s.Refused) }))
+}
+
+// liveOfService returns the instances of the own service that take new work,
+// sorted.
+func (d *Daemon) liveOfService() []string {
+	var live []string
+	for _, p := range d.picker.Peers() {
+		if p.Service == d.config.Service && !p.Leaving {
+			live = append(live, p.ID)
+		}
+	}
+	return live
+}
+
+// stragglerTime is the time for which a leaving daemon still runs keys that are
+// older than the youngest one it has run: nobody else may run them.
+const stragglerTime = 500 * time.Millisecond
+
+// releaseClaims gives the claims up before the peers learn that this daemon
+// leaves, so that they take over at once.
+func (d *Daemon) releaseClaims(ctx context.Context) {
+	if err := d.keeper.Leave(ctx); err != nil {
+		d.log.Log(event.ClaimsNotReleased).Err(err).Msg("claims not released")
+	}
+}
+
+// awaitStragglers waits while keys that only this daemon may run still arrive.
+func awaitStragglers(ctx context.Context) {
+	timer := time.NewTimer(stragglerTime)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- a/node/event/catalogue.go
+++ b/node/event/catalogue.go
@@ -5,22 +5,24 @@
 // Events of the daemon. Numbers are grouped by hundreds: 1 daemon life,
 // 2 settings, 3 links, 4 membership, 5 requests, 6 platform.
 var (
-	DaemonStarted   = Event{101, "daemon-started", plog.InfoLevel, "The daemon's ports are open."}
-	DaemonLeaving   = Event{102, "daemon-leaving", plog.InfoLevel, "A planned stop began: new work is refused as not-run, running work is finished."}
-	DaemonStopped   = Event{103, "daemon-stopped", plog.InfoLevel, "The daemon ended. The field cut gives the requests that the drain bound cut."}
-	LinksOpen       = Event{104, "links-loopback-only", plog.WarnLevel, "No link key is set: links are taken from loopback only. Set -link-key."}
-	PortFailed      = Event{105, "port-failed", plog.ErrorLevel, "A port stopped serving. The daemon ends."}
-	SettingsInForce = Event{201, "settings-in-force", plog.InfoLevel, "A revision of the settings is in force."}
-	SettingsRefused = Event{202, "settings-refused", plog.ErrorLevel, "The store holds settings with findings; the last good revision stays in force. Apply a corrected document."}
-	SettingsOlder   = Event{203, "settings-older", plog.ErrorLevel, "The store holds an older revision than the one in force, as after a restore from a backup. The newer stays in force; apply it again."}
-	LinkOpened      = Event{301, "link-opened", plog.DebugLevel, "A link to a peer is open."}
-	LinkClosed      = Event{302, "link-closed", plog.InfoLevel, "A link ended. The field reason says why."}
-	LinkRefused     = Event{303, "link-refused", plog.WarnLevel, "A peer did not prove the link key, or came from outside loopback without one."}
-	LinkMalformed   = Event{304, "link-malformed", plog.WarnLevel, "A frame could not be decoded or broke a rule of the protocol; the link was ended."}
-	PeersChanged    = Event{401, "peers-changed", plog.InfoLevel, "The set of known peers changed."}
-	BadCallerInput  = Event{501, "request-malformed", plog.InfoLevel, "A caller's request was malformed and refused."}
-	PlatformAway    = Event{601, "platform-away", plog.WarnLevel, "The platform's store does not answer. The daemon goes on with what it holds."}
-	PlatformBack    = Event{602, "platform-back", plog.InfoLevel, "The platform's store answers again."}
+	DaemonStarted      = Event{101, "daemon-started", plog.InfoLevel, "The daemon's ports are open."}
+	DaemonLeaving      = Event{102, "daemon-leaving", plog.InfoLevel, "A planned stop began: new work is refused as not-run, running work is finished."}
+	DaemonStopped      = Event{103, "daemon-stopped", plog.InfoLevel, "The daemon ended. The field cut gives the requests that the drain bound cut."}
+	LinksOpen          = Event{104, "links-loopback-only", plog.WarnLevel, "No link key is set: links are taken from loopback only. Set -link-key."}
+	PortFailed         = Event{105, "port-failed", plog.ErrorLevel, "A port stopped serving. The daemon ends."}
+	SettingsInForce    = Event{201, "settings-in-force", plog.InfoLevel, "A revision of the settings is in force."}
+	SettingsRefused    = Event{202, "settings-refused", plog.ErrorLevel, "The store holds settings with findings; the last good revision stays in force. Apply a corrected document."}
+	SettingsOlder      = Event{203, "settings-older", plog.ErrorLevel, "The store holds an older revision than the one in force, as after a restore from a backup. The newer stays in force; apply it again."}
+	LinkOpened         = Event{301, "link-opened", plog.DebugLevel, "A link to a peer is open."}
+	LinkClosed         = Event{302, "link-closed", plog.InfoLevel, "A link ended. The field reason says why."}
+	LinkRefused        = Event{303, "link-refused", plog.WarnLevel, "A peer did not prove the link key, or came from outside loopback without one."}
+	LinkMalformed      = Event{304, "link-malformed", plog.WarnLevel, "A frame could not be decoded or broke a rule of the protocol; the link was ended."}
+	PeersChanged       = Event{401, "peers-changed", plog.InfoLevel, "The set of known peers changed."}
+	BadCallerInput     = Event{501, "request-malformed", plog.InfoLevel, "A caller's request was malformed and refused."}
+	ClaimsNotRefreshed = Event{603, "claims-not-refreshed", plog.WarnLevel, "The claims on keys of non-idempotent requests could not be refreshed. The instance runs such requests until its claims end; see docs/operations/once.md."}
+	ClaimsNotReleased  = Event{604, "claims-not-released", plog.WarnLevel, "A leaving instance could not give up its claims. The keys that it owned are refused until the claims end."}
+	PlatformAway       = Event{601, "platform-away", plog.WarnLevel, "The platform's store does not answer. The daemon goes on with what it holds."}
+	PlatformBack       = Event{602, "platform-back", plog.InfoLevel, "The platform's store answers again."}
 )
 
 // Catalogue lists every event by number.
@@ -30,5 +32,6 @@
 		SettingsInForce, SettingsRefused, SettingsOlder,
 		LinkOpened, LinkClosed, LinkRefused, LinkMalformed,
 		PeersChanged, BadCallerInput, PlatformAway, PlatformBack,
+		ClaimsNotRefreshed, ClaimsNotReleased,
 	}
 }
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -36,7 +36,9 @@
 	Settings *settingsync.Holder
 	Picker   *route.Picker
 	// Far is the share of the link between regions.
-	Far       *FarLink
+	Far *FarLink
+	// Place is where this daemon stands.
+	Place     route.Place
 	Transport Transport
 	// Own runs requests at the own upstream.
 	Own      call.Server
@@ -48,19 +50,33 @@
 // Gateway makes calls. It is safe for concurrent use.
 type Gateway struct {
 	Config
+	owners  *owners
+	ratios  *retry.Ratios
+	resends *retry.Resends
 }
 
 // New returns a Gateway.
-func New(config Config) *Gateway { return &Gateway{config} }
+func New(config Config) *Gateway {
+	return &Gateway{
+		Config:  config,
+		owners:  newOwners(config.Place, config.Picker),
+		ratios:  retry.NewRatios(),
+		resends: retry.NewResends(),
+	}
+}
 
 // Call makes one call: it sends the request to a peer, and again to another
 // while that is allowed. budget holds the retries of the call's parent.
 func (g *Gateway) Call(ctx context.Context, r *call.Request, values *settings.Values, budget *retry.Budget) *call.Answer {
+	g.ratios.First(r.Service, values.RetryRatio)
+	if !r.Idempotent {
+		return g.callOwner(ctx, r, values, budget)
+	}
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
 	var tried []string
 	for {
 		answer, peer := g.attempt(ctx, r, values, budget, tried)
-		if !g.again(ctx, r, answer, peer, budget) {
+		if !g.again(ctx, r, values, answer, tried, peer, budget) {
 			answer.Body = &cancellingBody{answer.Body, cancel}
 			return answer
 		}
@@ -69,21 +85,6 @@
 	}
 }
 
-// again decides whether to send the request once more, and pays for it.
-func (g *Gateway) again(ctx context.Context, r *call.Request, answer *call.Answer, peer string, budget *retry.Budget) bool {
-	if peer == "" || answer.Refusal == call.RefusedNone || ctx.Err() != nil {
-		return false
-	}
-	if answer.Outcome != call.NotRun && !r.Idempotent {
-		return false
-	}
-	switch answer.Refusal {
-	case call.RefusedOverload, call.RefusedDraining, call.RefusedUnreachable:
-		return budget.Take()
-	}
-	return false
-}
-
 // attempt sends the request to one peer. The peer's id is empty if there is
 // none to try.
 func (g *Gateway) attempt(ctx context.Context, r *call.Request, values *settings.Values, budget *retry.Budget, tried []string) (*call.Answer, string) {
--- a/node/gateway/http.go
+++ b/node/gateway/http.go
@@ -91,6 +91,9 @@
 	if err != nil {
 		return nil, badRequest(err)
 	}
+	if refusal := g.resent(request, &p.values); refusal != nil {
+		return nil, refusal
+	}
 	p.ctx = r.Context()
 	p.budget = retry.NewBudget(p.values.Attempts - 1)
 	return p, nil
@@ -157,6 +160,7 @@
 	if !request.Idempotent && request.Key == "" {
 		request.Key = uuid.Must(uuid.NewV7()).String()
 		p.madeKey = true
+		request.KeyMade = true
 	}
 	request.Header = forwardHeader(r.Header)
 	return p, nil
--- /dev/null
+++ b/node/once/once_test.go
@@ -0,0 +1,305 @@
+package once
+
+import (
+	"context"
+	"encoding/binary"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+
+	core "fuchsiavane.org/core/once"
+	"fuchsiavane.org/node/call"
+	"fuchsiavane.org/node/event"
+	"fuchsiavane.org/node/platform"
+	"fuchsiavane.org/node/platform/memstore"
+)
+
+// store is a memstore that fails on request.
+type store struct {
+	*memstore.Store
+	mu         sync.Mutex
+	down, lose bool
+	writes     int
+}
+
+func (s *store) set(down, lose bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down, s.lose = down, lose
+}
+
+func (s *store) Get(ctx context.Context, key string) (platform.Entry, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return platform.Entry{}, platform.ErrUnavailable
+	}
+	return s.Store.Get(ctx, key)
+}
+
+func (s *store) Put(ctx context.Context, key string, value []byte, ifRevision uint64, lease string) (uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.writes++
+	if s.down {
+		return 0, platform.ErrUnavailable
+	}
+	revision, err := s.Store.Put(ctx, key, value, ifRevision, lease)
+	if s.lose {
+		return 0, errors.New("the answer was lost")
+	}
+	return revision, err
+}
+
+// upstream counts runs by key and answers as told.
+type upstream struct {
+	mu     sync.Mutex
+	runs   map[string]int
+	work   time.Duration
+	answer func() *call.Answer
+}
+
+func (u *upstream) Serve(ctx context.Context, r *call.Request) *call.Answer {
+	select {
+	case <-time.After(u.work):
+	case <-ctx.Done():
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	a := u.answer()
+	if a.Outcome != call.NotRun {
+		u.runs[r.Key]++
+	}
+	return a
+}
+
+func ok() *call.Answer {
+	return &call.Answer{Status: 201, Header: http.Header{}, Length: -1, Body: io.NopCloser(strings.NewReader("lodged")), Outcome: call.Ran}
+}
+
+// fleet is a service of several instances over one store.
+type fleet struct {
+	store    *store
+	upstream *upstream
+	mu       sync.Mutex
+	live     []string
+}
+
+type instance struct {
+	*Server
+	stop context.CancelFunc
+}
+
+func newFleet(live ...string) *fleet {
+	return &fleet{
+		store:    &store{Store: memstore.New()},
+		upstream: &upstream{runs: map[string]int{}, answer: ok},
+		live:     live,
+	}
+}
+
+func (f *fleet) setLive(live ...string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.live = live
+}
+
+func (f *fleet) start(t *testing.T, id string) *instance {
+	k := NewKeeper(Config{Instance: id, Service: "registry", Store: f.store, Log: event.Discard(), Live: func() []string {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return f.live
+	}})
+	ctx, stop := context.WithCancel(t.Context())
+	go k.Run(ctx)
+	return &instance{NewServer(k, f.upstream), stop}
+}
+
+func request(key string) *call.Request {
+	return &call.Request{Method: "POST", Target: "/rulings", Key: key, Deadline: time.Now().Add(5 * time.Second), Body: []byte("bib 17")}
+}
+
+// newKey makes a key that is born now. (uuid.NewV7 keeps a clock of its own,
+// which virtual time doesn't set back between tests.)
+func newKey() string {
+	id := uuid.New()
+	binary.BigEndian.PutUint64(id[:8], uint64(time.Now().UnixMilli())<<16|0x7000)
+	return id.String()
+}
+
+func TestRepeatsOfAKey(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet("a")
+		a := f.start(t, "a")
+		time.Sleep(5 * time.Second)
+		key := newKey()
+		f.upstream.work = time.Second
+		gone, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+		defer cancel()
+		is.Equal(a.Serve(gone, request(key)).Outcome, call.Unknown) // the caller gave up, the run goes on
+		for range 2 {                                               // the first joins the run, the second gets the kept answer
+			answer := a.Serve(t.Context(), request(key))
+			is.Equal(answer.Status, 201)
+			body, err := io.ReadAll(answer.Body)
+			is.NoErr(err)
+			is.Equal(string(body), "lodged")
+		}
+		other := request(key)
+		other.Body = []byte("bib 18")
+		is.Equal(a.Serve(t.Context(), other).Status, http.StatusConflict)
+		is.Equal(f.upstream.runs[key], 1)
+
+		lost := newKey()
+		f.upstream.answer = func() *call.Answer { return call.Refuse(call.Unknown, call.RefusedUnreachable, "reset") }
+		is.Equal(a.Serve(t.Context(), request(lost)).Status, http.StatusBadGateway)
+		refused := newKey()
+		f.upstream.answer = func() *call.Answer { return call.Refuse(call.NotRun, call.RefusedOverload, "full") }
+		is.Equal(a.Serve(t.Context(), request(refused)).Outcome, call.NotRun)
+		f.upstream.answer = ok
+		is.Equal(a.Serve(t.Context(), request(lost)).Refusal, call.RefusedRepeat)
+		is.Equal(a.Serve(t.Context(), request(refused)).Status, 201)
+		is.Equal(f.upstream.runs[lost], 1)
+
+		f.upstream.answer = func() *call.Answer {
+			large := ok()
+			large.Body = io.NopCloser(strings.NewReader(strings.Repeat("x", maxKept+1)))
+			return large
+		}
+		large := newKey()
+		answer := a.Serve(t.Context(), request(large))
+		body, err := io.ReadAll(answer.Body)
+		is.NoErr(err)
+		is.NoErr(answer.Body.Close())
+		is.Equal(len(body), maxKept+1)
+		is.Equal(a.Serve(t.Context(), request(large)).Refusal, call.RefusedRepeat)
+	})
+}
+
+func TestStoreOutageAndLostAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet("a")
+		f.store.set(false, true)
+		a := f.start(t, "a")
+		time.Sleep(10 * time.Second)
+		is.Equal(a.Serve(t.Context(), request(newKey())).Status, 201) // the claim is found by reading again
+		f.store.set(true, false)
+		time.Sleep(DefaultLength * 2 / 3) // a claim is always this long when an outage begins
+		is.Equal(a.Serve(t.Context(), request(newKey())).Status, 201)
+		time.Sleep(DefaultTroubledLength)
+		answer := a.Serve(t.Context(), request(newKey()))
+		is.Equal(answer.Refusal, call.RefusedNotOwner)
+		is.Equal(answer.RetryAfter, time.Second)
+		f.store.set(false, false)
+		time.Sleep(10 * time.Second)
+		is.Equal(a.Serve(t.Context(), request(newKey())).Status, 201)
+		is.Equal(a.keeper.owner.Stats(core.MillisOf(time.Now())).Left > DefaultTroubledLength/2, true) // longer after trouble
+	})
+}
+
+func TestOpaqueKeys(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet("a", "b")
+		a, b := f.start(t, "a"), f.start(t, "b")
+		time.Sleep(5 * time.Second)
+		is.Equal(a.Serve(t.Context(), request("bib-17")).Status, 201)
+		is.Equal(a.Serve(t.Context(), request("bib-17")).Status, 201)
+		is.Equal(b.Serve(t.Context(), request("bib-17")).Status, http.StatusConflict)
+		f.store.set(true, false)
+		is.Equal(b.Serve(t.Context(), request("bib-18")).Status, http.StatusServiceUnavailable)
+		is.Equal(b.Serve(t.Context(), request("bib-17")).Outcome, call.Unknown) // it ran: never "not-run"
+		f.store.set(false, true)
+		is.Equal(b.Serve(t.Context(), request("bib-18")).Status, 201)
+		f.store.set(false, false)
+		is.Equal(a.Serve(t.Context(), request("bib-18")).Status, http.StatusConflict)
+		f.upstream.answer = func() *call.Answer { return call.Refuse(call.NotRun, call.RefusedOverload, "full") }
+		is.Equal(a.Serve(t.Context(), request("bib-19")).Outcome, call.NotRun)
+		f.upstream.answer = ok
+		is.Equal(b.Serve(t.Context(), request("bib-19")).Status, 201)
+		for key, n := range f.upstream.runs {
+			is.Equal(n, 1)
+			_ = key
+		}
+	})
+}
+
+// serveAnywhere asks one instance and follows its hints.
+func serveAnywhere(t *testing.T, from *instance, all map[string]*instance, key string) *call.Answer {
+	answer := from.Serve(t.Context(), request(key))
+	for range 3 {
+		next := all[answer.Header.Get(HeaderOwner)]
+		if next == nil {
+			break
+		}
+		answer = next.Serve(t.Context(), request(key))
+	}
+	return answer
+}
+
+func TestOwnersLeaveAndCrash(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet("a", "b", "c")
+		all := map[string]*instance{}
+		for _, id := range f.live {
+			all[id] = f.start(t, id)
+		}
+		time.Sleep(10 * time.Second)
+		var early []string
+		for range 300 {
+			early = append(early, newKey())
+			is.Equal(serveAnywhere(t, all["a"], all, early[len(early)-1]).Status, 201)
+		}
+		// A planned stop: no key is blocked.
+		is.NoErr(all["c"].keeper.Leave(t.Context()))
+		f.setLive("a", "b")
+		time.Sleep(5 * time.Second)
+		for range 300 {
+			is.Equal(serveAnywhere(t, all["a"], all, newKey()).Status, 201)
+		}
+		// The one that left answers for what it ran.
+		for _, key := range early {
+			is.Equal(serveAnywhere(t, all["a"], all, key).Status, 201)
+		}
+		// A crash: keys of its claims are unknown, never run, until these end.
+		all["b"].stop()
+		delete(all, "b")
+		f.setLive("a")
+		time.Sleep(5 * time.Second)
+		blocked := 0
+		for range 300 {
+			answer := serveAnywhere(t, all["a"], all, newKey())
+			if answer.Status != 201 {
+				is.Equal(answer.Outcome, call.Unknown)
+				blocked++
+			}
+		}
+		is.True(blocked > 0)
+		is.True(blocked < 300)
+		time.Sleep(DefaultLength)
+		for range 300 {
+			is.Equal(serveAnywhere(t, all["a"], all, newKey()).Status, 201)
+		}
+		for _, n := range f.upstream.runs {
+			is.Equal(n, 1)
+		}
+		// It has started again and remembers nothing: nothing old runs.
+		all["b"] = f.start(t, "b")
+		f.setLive("a", "b")
+		time.Sleep(5 * time.Second)
+		for _, key := range early {
+			serveAnywhere(t, all["b"], all, key)
+			is.Equal(f.upstream.runs[key], 1)
+		}
+	})
+}
--- a/node/problem/problem.go
+++ b/node/problem/problem.go
@@ -38,6 +38,7 @@
 	call.RefusedBadRequest:  "The request is malformed",
 	call.RefusedTooLarge:    "The request is too large",
 	call.RefusedCancelled:   "The caller gave the request up",
+	call.RefusedNotOwner:    "No instance owns the key now",
 }
 
 // Write answers a refused request.
