Ask the picker for one service's instances without listing the fleet

Cause: the claims' duty listed and sorted every known peer twice a second: at 9,800 peers that is megabytes a second for one service's names. Change: Serving(service) looks at that service alone; the count of a region's peers is kept at each update.

--- a/core/route/route.go
+++ b/core/route/route.go
@@ -35,6 +35,7 @@
 	mu       sync.Mutex
 	services map[string]*service
 	scratch  []*peerState
+	inRegion int
 }
 
 // NewPicker returns a Picker for a daemon at a place.
@@ -48,8 +49,12 @@
 	defer p.mu.Unlock()
 	old := p.services
 	p.services = make(map[string]*service, len(old))
+	p.inRegion = 0
 	for _, peer := range peers {
 		p.put(now, peer, old[peer.Service])
+		if peer.Region == p.place.Region {
+			p.inRegion++
+		}
 	}
 	for _, s := range p.services {
 		s.reorder(p.place)
@@ -254,13 +259,23 @@
 func (p *Picker) InRegion() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	n := 0
-	for _, s := range p.services {
-		for _, peer := range s.peers {
-			if peer.Region == p.place.Region {
-				n++
-			}
+	return max(p.inRegion, 1)
+}
+
+// Serving returns the ids of a service's peers that take new work, sorted.
+func (p *Picker) Serving(serviceName string) []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.services[serviceName]
+	if s == nil {
+		return nil
+	}
+	var ids []string
+	for _, peer := range s.peers {
+		if !peer.Leaving {
+			ids = append(ids, peer.ID)
 		}
 	}
-	return max(n, 1)
+	slices.Sort(ids)
+	return ids
 }
--- a/node/daemon/once.go
+++ b/node/daemon/once.go
@@ -38,15 +38,7 @@
 
 // liveOfService returns the instances of the own service that take new work,
 // sorted.
-func (d *Daemon) liveOfService() []string {
-	var live []string
-	for _, p := range d.picker.Peers() {
-		if p.Service == d.config.Service && !p.Leaving {
-			live = append(live, p.ID)
-		}
-	}
-	return live
-}
+func (d *Daemon) liveOfService() []string { return d.picker.Serving(d.config.Service) }
 
 // stragglerTime is the time for which a leaving daemon still runs keys that are
 // older than the youngest one it has run: nobody else may run them.
--- a/node/daemon/replacement_test.go
+++ b/node/daemon/replacement_test.go
@@ -68,6 +68,7 @@
 // Every instance of a service is replaced, one after another, under load: no
 // request is cut, refused or lost.
 func TestRollingReplacementCutsNothing(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	store := memstore.New()
 	daemontest.Apply(t, store, `{"settings": {"timeout_ms": 5000, "queue_ms": 1000}}`)
@@ -90,6 +91,7 @@
 
 // An instance is restarted with its old name and address under load.
 func TestRestartWithSameNameAndAddress(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	store := memstore.New()
 	daemontest.Apply(t, store, `{"settings": {"timeout_ms": 5000, "queue_ms": 1000}}`)
--- a/node/daemon/routing_test.go
+++ b/node/daemon/routing_test.go
@@ -26,6 +26,7 @@
 
 // An upstream that accepts calls and never answers is left.
 func TestHalfDeadUpstreamIsLeft(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	store := memstore.New()
 	daemontest.Apply(t, store, `{"settings": {"timeout_ms": 300, "attempts": 1}}`)
@@ -62,6 +63,7 @@
 // Calls stay in the data centre while it can serve them, leave it for the region
 // when it can't, and stay in the region if the settings say never.
 func TestCallsStayNear(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	store := memstore.New()
 	daemontest.Apply(t, store, `{"settings": {"cross_region": "never"}}`)
@@ -87,6 +89,7 @@
 
 // Large answers from another region come no faster than the share of the link.
 func TestLinkBetweenRegionsIsPaced(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	store := memstore.New()
 	// Two daemons share 8 Mbit/s; of that 80% is for calls.
