--- a/node/daemon/daemon.go
+++ b/node/daemon/daemon.go
@@ -76,8 +76,8 @@
 	d.gate = upstream.NewGate(c.Service, d.settings)
 	d.runner = upstream.NewRunner(base, d.gate, table)
 	d.guardOwn(store)
-	d.pool = link.NewPool(identity, log)
-	d.listener = link.NewListener(identity, d.own, log)
+	d.pool = link.NewPool(identity, link.DefaultTiming(), log)
+	d.listener = link.NewListener(identity, link.DefaultTiming(), d.own, log)
 	d.gateway = gateway.New(gateway.Config{
 		Instance: c.InstanceID, Place: route.Place{Region: c.Region, DataCentre: c.DataCentre},
 		Settings: d.settings, Picker: d.picker, Far: d.far, Transport: d.pool,
@@ -89,6 +89,7 @@
 	}
 	d.found = discovery.New(self, store, d.picker, log)
 	d.metrics.Gauge("fuchsiavane_running", func() float64 { running, _ := d.gate.Load(); return float64(running) })
+	d.linkMetrics()
 	d.metrics.Gauge("fuchsiavane_queued", func() float64 { _, queued := d.gate.Load(); return float64(queued) })
 	return d, nil
 }
@@ -126,45 +127,6 @@
 // Drain begins a planned stop.
 func (d *Daemon) Drain() { d.drainOnce.Do(func() { close(d.draining) }) }
 
-// leave is the planned stop: tell the peers, finish what runs, close.
-func (d *Daemon) leave(stopDuties context.CancelFunc, duties *sync.WaitGroup) {
-	d.Drain()
-	d.log.Log(event.DaemonLeaving).Int("running", d.runner.InFlight()).Msg("planned stop")
-	bound := d.settings.Current().Document.ServiceValues(d.config.Service).Drain
-	ctx, cancel := context.WithTimeout(context.Background(), bound)
-	defer cancel()
-	stopDuties()
-	duties.Wait()
-	d.releaseClaims(ctx)
-	_ = d.found.Leave(ctx)
-	awaitStragglers(ctx)
-	d.runner.Leave()
-	d.ports.drain(ctx)
-	d.finish(ctx)
-	cut := d.runner.InFlight()
-	goneCtx, cancelGone := context.WithTimeout(context.Background(), time.Second)
-	defer cancelGone()
-	_ = d.found.Gone(goneCtx)
-	d.listener.Close()
-	d.pool.Close()
-	d.ports.close()
-	d.log.Log(event.DaemonStopped).Int("cut", cut).Msg("daemon stopped")
-}
-
-// finish waits until nothing runs at the upstream.
-func (d *Daemon) finish(ctx context.Context) {
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
-	for d.runner.InFlight() > 0 {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-ticker.C:
-			d.gate.Tick(now)
-		}
-	}
-}
-
 func (d *Daemon) tick(ctx context.Context) {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
--- /dev/null
+++ b/node/daemon/drain.go
@@ -0,0 +1,79 @@
+package daemon
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"fuchsiavane.org/node/event"
+)
+
+const (
+	// noticeTime is the first part of a planned stop: peers and callers are told
+	// and requests are still run, so that none is refused because the news had
+	// not reached its sender.
+	noticeTime = time.Second
+	// linksTime bounds the wait for the peers to close their links.
+	linksTime = 3 * time.Second
+	// goneTime bounds the removal of the own entry.
+	goneTime = time.Second
+)
+
+// leave is the planned stop: tell the peers and the callers, refuse new work,
+// finish what runs, deliver every answer, close.
+func (d *Daemon) leave(stopDuties context.CancelFunc, duties *sync.WaitGroup) {
+	d.Drain()
+	d.log.Log(event.DaemonLeaving).Int("running", d.runner.InFlight()).Msg("planned stop")
+	bound := d.settings.Current().Document.ServiceValues(d.config.Service).Drain
+	ctx, cancel := context.WithTimeout(context.Background(), bound)
+	defer cancel()
+	stopDuties()
+	duties.Wait()
+	d.releaseClaims(ctx)
+	d.giveNotice(ctx)
+	awaitStragglers(ctx)
+	d.runner.Leave()
+	d.ports.drainCallers(ctx)
+	d.finish(ctx)
+	cut := d.runner.InFlight()
+	d.closeLinks()
+	d.ports.drainLocal(ctx)
+	d.pool.Close()
+	d.ports.close()
+	d.log.Log(event.DaemonStopped).Int("cut", cut).Msg("daemon stopped")
+}
+
+// giveNotice tells the peers and, by closing each connection after its answer,
+// the callers.
+func (d *Daemon) giveNotice(ctx context.Context) {
+	d.ports.closeAfterAnswer()
+	ctx, cancel := context.WithTimeout(ctx, noticeTime)
+	defer cancel()
+	go d.tick(ctx)
+	_ = d.found.Leave(ctx)
+	<-ctx.Done()
+}
+
+// closeLinks waits until the peers have their answers.
+func (d *Daemon) closeLinks() {
+	ctx, cancel := context.WithTimeout(context.Background(), linksTime)
+	defer cancel()
+	d.listener.Shutdown(ctx)
+	ctx, cancelGone := context.WithTimeout(context.Background(), goneTime)
+	defer cancelGone()
+	_ = d.found.Gone(ctx)
+}
+
+// finish waits until nothing runs at the upstream.
+func (d *Daemon) finish(ctx context.Context) {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for d.runner.InFlight() > 0 {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			d.gate.Tick(now)
+		}
+	}
+}
--- a/node/daemon/ports.go
+++ b/node/daemon/ports.go
@@ -6,6 +6,7 @@
 	stdlog "log"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -32,6 +33,7 @@
 // ports are the daemon's listening ports.
 type ports struct {
 	caller, local, peer, admin *port
+	leaving                    atomic.Bool
 }
 
 func (d *Daemon) listen() (*ports, error) {
@@ -44,7 +46,7 @@
 		addr    string
 		handler http.Handler
 	}{
-		{&p.caller, "caller", d.config.CallerListen, d.gateway.CallerPort()},
+		{&p.caller, "caller", d.config.CallerListen, p.closing(d.gateway.CallerPort())},
 		{&p.local, "local", d.config.LocalListen, d.gateway.LocalPort()},
 		{&p.peer, "peer", d.config.PeerListen, peer},
 		{&p.admin, "admin", d.config.AdminListen, admin.Handler(d)},
@@ -96,12 +98,31 @@
 	return failed
 }
 
-// drain closes the caller port to new work and waits for what it has in
+// closeAfterAnswer makes the caller port close each connection after its next
+// answer, so that callers go elsewhere without losing a request.
+func (p *ports) closeAfterAnswer() { p.leaving.Store(true) }
+
+// drainCallers closes the caller port to new work and waits for what it has in
 // progress. The local port serves on, since running requests use it.
-func (p *ports) drain(ctx context.Context) {
+func (p *ports) drainCallers(ctx context.Context) {
 	_ = p.caller.server.Shutdown(ctx)
 }
 
+// drainLocal does the same for the local port.
+func (p *ports) drainLocal(ctx context.Context) {
+	_ = p.local.server.Shutdown(ctx)
+}
+
+// closing adds Connection: close to every answer while the daemon leaves.
+func (p *ports) closing(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if p.leaving.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 func (p *ports) close() {
 	for _, one := range p.all() {
 		_ = one.server.Close()
--- a/node/event/catalogue.go
+++ b/node/event/catalogue.go
@@ -17,6 +17,8 @@
 	LinkClosed         = Event{302, "link-closed", plog.InfoLevel, "A link ended. The field reason says why."}
 	LinkRefused        = Event{303, "link-refused", plog.WarnLevel, "A peer did not prove the link key, or came from outside loopback without one."}
 	LinkMalformed      = Event{304, "link-malformed", plog.WarnLevel, "A frame could not be decoded or broke a rule of the protocol; the link was ended."}
+	LinkNotOpened      = Event{305, "link-not-opened", plog.WarnLevel, "A link to a peer could not be opened. The pause before the next dial doubles up to 2 s; failures gives the dials that failed in a row."}
+	LinkRecovered      = Event{306, "link-recovered", plog.WarnLevel, "A link broke with requests in progress. asked gives those whose answers were asked for on a new link, lost those whose outcome stays unknown."}
 	PeersChanged       = Event{401, "peers-changed", plog.InfoLevel, "The set of known peers changed."}
 	BadCallerInput     = Event{501, "request-malformed", plog.InfoLevel, "A caller's request was malformed and refused."}
 	ClaimsNotRefreshed = Event{603, "claims-not-refreshed", plog.WarnLevel, "The claims on keys of non-idempotent requests could not be refreshed. The instance runs such requests until its claims end; see docs/operations/once.md."}
@@ -30,7 +32,7 @@
 	return []Event{
 		DaemonStarted, DaemonLeaving, DaemonStopped, LinksOpen, PortFailed,
 		SettingsInForce, SettingsRefused, SettingsOlder,
-		LinkOpened, LinkClosed, LinkRefused, LinkMalformed,
+		LinkOpened, LinkClosed, LinkRefused, LinkMalformed, LinkNotOpened, LinkRecovered,
 		PeersChanged, BadCallerInput, PlatformAway, PlatformBack,
 		ClaimsNotRefreshed, ClaimsNotReleased,
 	}
--- a/node/link/body.go
+++ b/node/link/body.go
@@ -19,8 +19,9 @@
 	ready  *sync.Cond
 	pieces [][]byte
 	held   int
-	taken  int
-	err    error // io.EOF at a whole body's end
+	taken  int    // consumed since credit was granted
+	total  uint64 // received since the beginning
+	err    error  // io.EOF at a whole body's end
 }
 
 func newBody(grant func(int), cancel func()) *body {
@@ -37,6 +38,7 @@
 		return nil
 	}
 	b.held += len(piece)
+	b.total += uint64(len(piece))
 	if b.held > wire.InitialCredit+wire.MaxChunk {
 		return errors.Wrapf(ErrMalformed, "stream holds %d bytes, more than its credit", b.held)
 	}
@@ -50,6 +52,13 @@
 	return nil
 }
 
+// received returns the bytes received since the beginning.
+func (b *body) received() uint64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.total
+}
+
 // fail ends a body that is not whole.
 func (b *body) fail(err error) {
 	b.mu.Lock()
--- a/node/link/conn.go
+++ b/node/link/conn.go
@@ -23,20 +23,18 @@
 	maxPending = 128 << 10
 	// writeTimeout bounds one write to the network.
 	writeTimeout = 5 * time.Second
-	// heartbeatInterval is the pause between pings on an idle link.
-	heartbeatInterval = time.Second
-	// silenceLimit is the time without a frame after which a link is given up.
-	silenceLimit = 3 * time.Second
 	// handshakeTimeout bounds the opening of a link.
-	handshakeTimeout = 3 * time.Second
+	handshakeTimeout = 2 * time.Second
 )
 
 // Reasons for the end of a link.
 var (
-	// ErrSilent means that the other side sent nothing for silenceLimit.
+	// ErrSilent means that the other side left a ping without answer.
 	ErrSilent = errors.New("link: silent connection")
 	// ErrClosed means that this side closed the link.
 	ErrClosed = errors.New("link: closed")
+	// ErrReplaced means that the calling side has a newer link.
+	ErrReplaced = errors.New("link: replaced by a newer link")
 	// ErrMalformed means that the other side broke the protocol.
 	ErrMalformed = errors.New("link: malformed frame")
 	// ErrRefused means that the handshake failed.
@@ -47,8 +45,12 @@
 // shared buffer; the first of them writes for all, so that frames of many calls
 // leave in one write under load and no writer goroutine is woken.
 type conn struct {
-	ws       *websocket.Conn
-	lastRead atomic.Int64 // Unix nanoseconds
+	ws *websocket.Conn
+	// lastRead is the time, in nanoseconds since began, of the last frame that
+	// is not a ping. A ping does not count: it shows only that the other
+	// direction works.
+	lastRead atomic.Int64
+	began    time.Time
 
 	mu      sync.Mutex
 	room    *sync.Cond
@@ -62,12 +64,12 @@
 func newConn(ws *websocket.Conn) *conn {
 	c := &conn{
 		ws:      ws,
+		began:   time.Now(),
 		pending: &bytes.Buffer{},
 		spare:   &bytes.Buffer{},
 		done:    make(chan struct{}),
 	}
 	c.room = sync.NewCond(&c.mu)
-	c.lastRead.Store(time.Now().UnixNano())
 	ws.SetReadLimit(wire.MaxMessage)
 	return c
 }
@@ -139,7 +141,6 @@
 		if err != nil {
 			return errors.Wrap(err, "link: read")
 		}
-		c.lastRead.Store(time.Now().UnixNano())
 		if kind != websocket.BinaryMessage {
 			return errors.Wrap(ErrMalformed, "text message")
 		}
@@ -149,6 +150,9 @@
 			if err != nil {
 				return errors.Wrap(ErrMalformed, err.Error())
 			}
+			if f.Type != wire.TypePing {
+				c.lastRead.Store(int64(time.Since(c.began)))
+			}
 			if err := handle(f); err != nil {
 				return err
 			}
@@ -156,24 +160,35 @@
 	}
 }
 
-// heartbeat pings an idle connection and closes a silent one. It returns when
-// the connection ends.
-func (c *conn) heartbeat() {
-	ticker := time.NewTicker(heartbeatInterval)
+// heartbeat pings the connection and closes a silent one. It returns when the
+// connection ends. active reports whether calls are in progress.
+func (c *conn) heartbeat(timing Timing, active func() bool) {
+	ticker := time.NewTicker(timing.Heartbeat)
 	defer ticker.Stop()
+	var pinged time.Duration // since began; 0 if no ping waits for its answer
 	for {
 		select {
 		case <-c.done:
 			return
-		case now := <-ticker.C:
-			idle := now.Sub(time.Unix(0, c.lastRead.Load()))
-			if idle > silenceLimit {
+		case <-ticker.C:
+		}
+		now := time.Since(c.began)
+		lastRead := time.Duration(c.lastRead.Load())
+		if lastRead > pinged {
+			pinged = 0
+		}
+		if pinged != 0 {
+			if now-pinged > timing.Silence {
 				c.close(ErrSilent)
 				return
 			}
-			if idle > heartbeatInterval/2 {
-				c.post(&wire.Frame{Type: wire.TypePing})
-			}
+			continue
+		}
+		idle := now - lastRead
+		busy := active()
+		if idle > timing.IdleHeartbeat || (busy && idle > timing.Heartbeat/2) {
+			pinged = now
+			c.post(&wire.Frame{Type: wire.TypePing})
 		}
 	}
 }
--- a/node/link/handshake.go
+++ b/node/link/handshake.go
@@ -55,32 +55,38 @@
 	return mac.Sum(nil)
 }
 
-// greetServing does the calling side's part of the handshake.
-func greetServing(ws *websocket.Conn, id Identity, class Class) error {
+// greetServing does the calling side's part of the handshake and returns the
+// session's id, which is the serving side's nonce.
+func greetServing(ws *websocket.Conn, id Identity, class Class) ([]byte, error) {
 	nonce := newNonce()
 	hello := &wire.Hello{Version: wire.Version, Instance: id.Instance, Nonce: nonce, Class: string(class)}
 	if err := writeHello(ws, wire.TypeHello, hello); err != nil {
-		return err
+		return nil, err
 	}
 	peer, err := readHello(ws, wire.TypeHello)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	if !hmac.Equal(peer.Proof, id.prove(roleServing, peer.Instance, nonce, peer.Nonce)) {
-		return errors.Wrapf(ErrRefused, "instance %q does not prove the link key", peer.Instance)
+		return nil, errors.Wrapf(ErrRefused, "instance %q does not prove the link key", peer.Instance)
+	}
+	if len(peer.Nonce) != nonceBytes {
+		return nil, errors.Wrapf(ErrMalformed, "nonce of %d bytes", len(peer.Nonce))
 	}
 	proof := id.prove(roleCalling, id.Instance, nonce, peer.Nonce)
-	return writeHello(ws, wire.TypeProof, &wire.Hello{Version: wire.Version, Instance: id.Instance, Proof: proof})
+	answer := &wire.Hello{Version: wire.Version, Instance: id.Instance, Proof: proof}
+	return peer.Nonce, writeHello(ws, wire.TypeProof, answer)
 }
 
-// greetCalling does the serving side's part and returns the peer's hello.
-func greetCalling(ws *websocket.Conn, id Identity) (*wire.Hello, error) {
+// greetCalling does the serving side's part and returns the peer's hello and the
+// session's id.
+func greetCalling(ws *websocket.Conn, id Identity) (*wire.Hello, []byte, error) {
 	peer, err := readHello(ws, wire.TypeHello)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	if peer.Version != wire.Version || len(peer.Nonce) != nonceBytes {
-		return nil, errors.Wrapf(ErrRefused, "instance %q speaks version %d, not %d", peer.Instance, peer.Version, wire.Version)
+		return nil, nil, errors.Wrapf(ErrRefused, "instance %q speaks version %d, not %d", peer.Instance, peer.Version, wire.Version)
 	}
 	nonce := newNonce()
 	hello := &wire.Hello{
@@ -88,16 +94,16 @@
 		Proof: id.prove(roleServing, id.Instance, peer.Nonce, nonce),
 	}
 	if err := writeHello(ws, wire.TypeHello, hello); err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	proof, err := readHello(ws, wire.TypeProof)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	if !hmac.Equal(proof.Proof, id.prove(roleCalling, peer.Instance, peer.Nonce, nonce)) {
-		return nil, errors.Wrapf(ErrRefused, "instance %q does not prove the link key", peer.Instance)
+		return nil, nil, errors.Wrapf(ErrRefused, "instance %q does not prove the link key", peer.Instance)
 	}
-	return peer, nil
+	return peer, nonce, nil
 }
 
 func writeHello(ws *websocket.Conn, t wire.Type, h *wire.Hello) error {
--- /dev/null
+++ b/node/link/link_test.go
@@ -0,0 +1,315 @@
+package link
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/gorilla/websocket"
+	"github.com/matryer/is"
+	plog "github.com/phuslu/log"
+	"github.com/pkg/errors"
+
+	"fuchsiavane.org/node/call"
+	"fuchsiavane.org/node/event"
+	"fuchsiavane.org/node/wire"
+)
+
+// testTiming makes links notice silence soon.
+var testTiming = Timing{
+	Heartbeat:     50 * time.Millisecond,
+	IdleHeartbeat: time.Second,
+	Silence:       300 * time.Millisecond,
+	Recovery:      10 * time.Second,
+	Keep:          30 * time.Second,
+}
+
+// patience bounds what a test waits for.
+const patience = 20 * time.Second
+
+// peer is a serving daemon's peer port.
+type peer struct {
+	listener *Listener
+	server   *httptest.Server
+	log      *logBuffer
+}
+
+func newPeer(t *testing.T, key string, server call.Server) *peer {
+	t.Helper()
+	p := &peer{log: &logBuffer{}}
+	p.listener = NewListener(Identity{"serving", []byte(key)}, testTiming, server, event.New(p.log, plog.DebugLevel, "serving"))
+	p.server = httptest.NewServer(p.listener)
+	t.Cleanup(func() {
+		p.listener.Close()
+		p.server.Close()
+	})
+	return p
+}
+
+func (p *peer) addr() string { return p.server.Listener.Addr().String() }
+
+func newTestPool(t *testing.T, key string) *Pool {
+	t.Helper()
+	p := NewPool(Identity{"calling", []byte(key)}, testTiming, event.Discard())
+	t.Cleanup(p.Close)
+	return p
+}
+
+// logBuffer is a log that is read while it is written.
+type logBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (l *logBuffer) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+func (l *logBuffer) has(e event.Event) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return strings.Contains(l.b.String(), fmt.Sprintf(`"event":%d,`, e.Number))
+}
+
+func eventually(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if condition() {
+			return
+		}
+	}
+	t.Fatalf("%s: not within %v", what, patience)
+}
+
+var runs atomic.Int64
+
+func newRequest(body []byte) *call.Request {
+	return &call.Request{
+		ID: "id", Run: fmt.Sprintf("run-%d", runs.Add(1)), Service: "bench", Method: http.MethodPost, Target: "/", Path: "/",
+		Header: http.Header{}, Body: body, Deadline: time.Now().Add(patience), Key: "key", Retries: 2,
+	}
+}
+
+func answerWith(body []byte, length int64) *call.Answer {
+	return &call.Answer{
+		Status: http.StatusOK, Header: http.Header{}, Length: length,
+		Body: io.NopCloser(bytes.NewReader(body)), Outcome: call.Ran,
+	}
+}
+
+// echo answers with the request's body.
+func echo(_ context.Context, r *call.Request) *call.Answer {
+	return answerWith(r.Body, int64(len(r.Body)))
+}
+
+func content(t *testing.T, a *call.Answer) string {
+	t.Helper()
+	defer a.Body.Close()
+	text, err := io.ReadAll(a.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(text)
+}
+
+func TestBodiesPassWholeInChunks(t *testing.T) {
+	p := newPeer(t, "k", call.ServerFunc(echo))
+	pool := newTestPool(t, "k")
+	for _, size := range []int{0, 1, wire.MaxChunk, wire.MaxChunk + 1, wire.InitialCredit, 1 << 20, call.MaxRequestBody} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			is := is.New(t)
+			body := bytes.Repeat([]byte("0123456789abcde\n"), size/16+1)[:size]
+			answer, err := pool.Do(context.Background(), p.addr(), ClassUrgent, newRequest(body))
+			is.NoErr(err)
+			is.True(content(t, answer) == string(body))
+		})
+	}
+}
+
+func TestHeaderMayHoldAnyByte(t *testing.T) {
+	is := is.New(t)
+	p := newPeer(t, "k", call.ServerFunc(func(_ context.Context, r *call.Request) *call.Answer {
+		a := answerWith(nil, 0)
+		a.Header = r.Header
+		return a
+	}))
+	request := newRequest(nil)
+	request.Header["Name"] = []string{"caf\xe9", "\xff"}
+	answer, err := newTestPool(t, "k").Do(context.Background(), p.addr(), ClassUrgent, request)
+	is.NoErr(err)
+	is.Equal(answer.Header["Name"], request.Header["Name"])
+}
+
+func TestAnswersMatchInAnyOrder(t *testing.T) {
+	is := is.New(t)
+	const calls = 50
+	var arrived sync.WaitGroup
+	arrived.Add(calls)
+	p := newPeer(t, "k", call.ServerFunc(func(_ context.Context, r *call.Request) *call.Answer {
+		arrived.Done()
+		arrived.Wait()
+		return answerWith(r.Body, int64(len(r.Body)))
+	}))
+	pool := newTestPool(t, "k")
+	var group sync.WaitGroup
+	var wrong atomic.Int64
+	for i := range calls {
+		group.Go(func() {
+			body := fmt.Sprint("answer ", i)
+			answer, err := pool.Do(context.Background(), p.addr(), ClassUrgent, newRequest([]byte(body)))
+			if err != nil || content(t, answer) != body {
+				wrong.Add(1)
+			}
+		})
+	}
+	group.Wait()
+	is.Equal(wrong.Load(), int64(0))
+}
+
+// TestBulkDoesNotDelayUrgent holds a bulk answer that nobody reads and shows
+// that calls on its own link and on the urgent one go on.
+func TestBulkDoesNotDelayUrgent(t *testing.T) {
+	is := is.New(t)
+	archive := bytes.Repeat([]byte("x"), 8<<20)
+	p := newPeer(t, "k", call.ServerFunc(func(ctx context.Context, r *call.Request) *call.Answer {
+		if r.Target == "/archive" {
+			return answerWith(archive, int64(len(archive)))
+		}
+		return echo(ctx, r)
+	}))
+	pool := newTestPool(t, "k")
+	bulk := newRequest(nil)
+	bulk.Target = "/archive"
+	unread, err := pool.Do(context.Background(), p.addr(), ClassBulk, bulk)
+	is.NoErr(err)
+	for _, class := range []Class{ClassUrgent, ClassBulk} {
+		answer, err := pool.Do(context.Background(), p.addr(), class, newRequest([]byte("now")))
+		is.NoErr(err)
+		is.Equal(content(t, answer), "now")
+	}
+	is.True(content(t, unread) == string(archive))
+}
+
+func TestCancelAndDeadlineReachTheServer(t *testing.T) {
+	ended := make(chan error, 1)
+	begun := make(chan struct{}, 1)
+	p := newPeer(t, "k", call.ServerFunc(func(ctx context.Context, _ *call.Request) *call.Answer {
+		begun <- struct{}{}
+		<-ctx.Done()
+		ended <- ctx.Err()
+		return call.Refuse(call.Unknown, call.RefusedCancelled, "")
+	}))
+	pool := newTestPool(t, "k")
+	t.Run("cancel", func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(context.Background())
+		go func() {
+			<-begun
+			cancel()
+		}()
+		_, err := pool.Do(ctx, p.addr(), ClassUrgent, newRequest(nil))
+		is.True(errors.Is(err, context.Canceled))
+		is.Equal(<-ended, context.Canceled)
+	})
+	t.Run("deadline", func(t *testing.T) {
+		is := is.New(t)
+		request := newRequest(nil)
+		request.Deadline = time.Now().Add(200 * time.Millisecond)
+		_, err := pool.Do(context.Background(), p.addr(), ClassUrgent, request)
+		is.NoErr(err) // the server's own answer
+		is.Equal(<-ended, context.DeadlineExceeded)
+	})
+}
+
+func TestWrongKeyIsRefusedAndLogged(t *testing.T) {
+	is := is.New(t)
+	p := newPeer(t, "k", call.ServerFunc(echo))
+	_, err := newTestPool(t, "other").Do(context.Background(), p.addr(), ClassUrgent, newRequest(nil))
+	var failure *Error
+	is.True(errors.As(err, &failure))
+	is.True(!failure.Sent)
+	// The calling side refuses first, since the serving side does not prove the
+	// key; a caller that goes on all the same is refused too.
+	is.True(errors.Is(err, ErrRefused))
+	ws, response, err := websocket.DefaultDialer.Dial("ws://"+p.addr()+Path, nil)
+	is.NoErr(err)
+	defer ws.Close()
+	is.NoErr(response.Body.Close())
+	is.NoErr(writeHello(ws, wire.TypeHello, &wire.Hello{Version: wire.Version, Instance: "x", Nonce: newNonce()}))
+	_, err = readHello(ws, wire.TypeHello)
+	is.NoErr(err)
+	is.NoErr(writeHello(ws, wire.TypeProof, &wire.Hello{Instance: "x", Proof: []byte("guess")}))
+	eventually(t, "refusal in the log", func() bool { return p.log.has(event.LinkRefused) })
+}
+
+func TestMalformedFramesEndTheLinkOnly(t *testing.T) {
+	request := &wire.Request{Run: "r", TimeLeft: 1e6}
+	for _, c := range []struct {
+		name   string
+		frames []*wire.Frame
+		raw    []byte
+	}{
+		{name: "garbage", raw: []byte("\xff\x00garbage")},
+		{name: "cut frame", raw: []byte{0xa1}},
+		{name: "type of the other side", frames: []*wire.Frame{{Type: wire.TypeAnswer, Stream: 1, Answer: &wire.Answer{}}}},
+		{name: "unknown type", raw: []byte{0xa1, 0x01, 0x18, 0x63}},
+		{name: "large chunk", frames: []*wire.Frame{{Type: wire.TypeRequest, Stream: 1, Request: request, Data: make([]byte, wire.MaxChunk+1)}}},
+		{name: "stream used twice", frames: []*wire.Frame{
+			{Type: wire.TypeRequest, Stream: 1, Request: request},
+			{Type: wire.TypeRequest, Stream: 1, Request: &wire.Request{Run: "s", TimeLeft: 1e6}},
+		}},
+		{name: "run used twice", frames: []*wire.Frame{
+			{Type: wire.TypeRequest, Stream: 1, Request: request},
+			{Type: wire.TypeRequest, Stream: 2, Request: request},
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			p := newPeer(t, "k", call.ServerFunc(echo))
+			pool := newTestPool(t, "k")
+			link, err := pool.get(context.Background(), target{p.addr(), ClassUrgent})
+			is.NoErr(err)
+			if c.raw != nil {
+				is.NoErr(link.conn.ws.WriteMessage(websocket.BinaryMessage, c.raw))
+			}
+			for _, f := range c.frames {
+				_ = link.conn.send(f)
+			}
+			eventually(t, "event 304", func() bool { return p.log.has(event.LinkMalformed) })
+			eventually(t, "a new link", func() bool {
+				answer, err := pool.Do(context.Background(), p.addr(), ClassUrgent, newRequest([]byte("next")))
+				return err == nil && content(t, answer) == "next"
+			})
+		})
+	}
+}
+
+func TestDialThatFailsIsHeldOff(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	addr := l.Addr().String()
+	is.NoErr(l.Close())
+	pool := newTestPool(t, "k")
+	_, err = pool.get(context.Background(), target{addr, ClassUrgent})
+	is.True(err != nil)
+	entry := pool.links[target{addr, ClassUrgent}]
+	is.True(!entry.mayRetry(entry.retryAt.Add(-1)))
+	is.True(entry.mayRetry(entry.retryAt))
+	for failures := range 70 {
+		pause := backoff(failures)
+		is.True(pause >= minBackoff/2)
+		is.True(pause <= maxBackoff)
+	}
+}
--- a/node/link/listener.go
+++ b/node/link/listener.go
@@ -1,8 +1,11 @@
 package link
 
 import (
+	"context"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 
 	"github.com/gorilla/websocket"
@@ -10,6 +13,7 @@
 
 	"fuchsiavane.org/node/call"
 	"fuchsiavane.org/node/event"
+	"fuchsiavane.org/node/wire"
 )
 
 // Listener takes links on the peer port.
@@ -18,24 +22,34 @@
 	server   call.Server
 	log      *event.Logger
 	upgrader websocket.Upgrader
+	keeper   *keeper
 
-	mu    sync.Mutex
-	conns map[*conn]struct{}
+	mu       sync.Mutex
+	conns    map[*conn]struct{}
+	leaving  bool
+	goneOnce sync.Once
+	empty    chan struct{} // closed when leaving and no link is left
 }
 
 // NewListener returns a Listener that hands requests to a server.
-func NewListener(identity Identity, server call.Server, log *event.Logger) *Listener {
+func NewListener(identity Identity, timing Timing, server call.Server, log *event.Logger) *Listener {
 	return &Listener{
 		identity: identity,
 		server:   server,
 		log:      log,
 		upgrader: websocket.Upgrader{HandshakeTimeout: handshakeTimeout},
+		keeper:   newKeeper(timing),
 		conns:    map[*conn]struct{}{},
+		empty:    make(chan struct{}),
 	}
 }
 
 // ServeHTTP implements http.Handler for Path.
 func (l *Listener) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if l.isLeaving() {
+		http.Error(w, "the instance is leaving", http.StatusServiceUnavailable)
+		return
+	}
 	if len(l.identity.Key) == 0 && !isLoopback(r.RemoteAddr) {
 		l.log.Log(event.LinkRefused).Str("remote", r.RemoteAddr).Msg("link refused: no link key is set and the peer is not on loopback")
 		http.Error(w, "links need a key", http.StatusForbidden)
@@ -46,13 +60,19 @@
 		l.log.Log(event.LinkMalformed).Str("remote", r.RemoteAddr).Err(err).Msg("link refused: not a WebSocket request")
 		return
 	}
-	peer, err := greetCalling(ws, l.identity)
+	peer, session, err := greetCalling(ws, l.identity)
 	if err != nil {
 		_ = ws.Close()
 		l.log.Log(refusalEvent(err)).Str("remote", r.RemoteAddr).Err(err).Msg("link refused")
 		return
 	}
-	l.serve(ws, peer.Instance, r.RemoteAddr)
+	l.serve(ws, session, peer.Instance, r.RemoteAddr)
+}
+
+func (l *Listener) isLeaving() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.leaving
 }
 
 func refusalEvent(err error) event.Event {
@@ -62,11 +82,14 @@
 	return event.LinkRefused
 }
 
-func (l *Listener) serve(ws *websocket.Conn, peer, remote string) {
+func (l *Listener) serve(ws *websocket.Conn, session []byte, peer, remote string) {
 	c := newConn(ws)
-	l.track(c, true)
-	defer l.track(c, false)
-	reason := newServing(c, l.server).run()
+	if !l.track(c) {
+		c.close(ErrClosed)
+		return
+	}
+	defer l.untrack(c)
+	reason := newServing(c, session, l.server, l.keeper).run()
 	kind := event.LinkClosed
 	if errors.Is(reason, ErrMalformed) {
 		kind = event.LinkMalformed
@@ -74,20 +97,58 @@
 	l.log.Log(kind).Str("peer", peer).Str("remote", remote).Err(reason).Msg("link closed")
 }
 
-func (l *Listener) track(c *conn, open bool) {
+// track counts a link. It reports false if the Listener takes no more.
+func (l *Listener) track(c *conn) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if open {
-		l.conns[c] = struct{}{}
-		return
+	if l.leaving {
+		return false
 	}
+	l.conns[c] = struct{}{}
+	return true
+}
+
+func (l *Listener) untrack(c *conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	delete(l.conns, c)
+	if l.leaving && len(l.conns) == 0 {
+		l.gone()
+	}
+}
+
+// Shutdown takes no more links, asks the calling sides to close theirs when
+// they have their answers, and waits for that. Links that are left when the
+// context ends are closed.
+func (l *Listener) Shutdown(ctx context.Context) {
+	l.mu.Lock()
+	l.leaving = true
+	open := slices.Collect(maps.Keys(l.conns))
+	if len(open) == 0 {
+		l.gone()
+	}
+	l.mu.Unlock()
+	for _, c := range open {
+		c.post(&wire.Frame{Type: wire.TypeGoAway})
+	}
+	select {
+	case <-l.empty:
+	case <-ctx.Done():
+	}
+	l.Close()
 }
 
+// gone reports that no link is left. The caller holds the lock.
+func (l *Listener) gone() { l.goneOnce.Do(func() { close(l.empty) }) }
+
+// Stats returns what became of answers whose link broke.
+func (l *Listener) Stats() Stats { return l.keeper.snapshot() }
+
 // Close ends every link.
 func (l *Listener) Close() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.leaving = true
 	for c := range l.conns {
 		c.close(ErrClosed)
 	}
--- /dev/null
+++ b/node/link/recovery_test.go
@@ -0,0 +1,260 @@
+package link
+
+import (
+	"bytes"
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+
+	"fuchsiavane.org/node/call"
+	"fuchsiavane.org/node/wire"
+)
+
+// held is a server that counts its runs and answers when told to.
+type held struct {
+	runs    atomic.Int64
+	begun   chan struct{}
+	release chan struct{}
+	answer  []byte
+}
+
+func newHeld(answer []byte) *held {
+	return &held{begun: make(chan struct{}, 100), release: make(chan struct{}), answer: answer}
+}
+
+func (h *held) Serve(ctx context.Context, _ *call.Request) *call.Answer {
+	h.runs.Add(1)
+	h.begun <- struct{}{}
+	select {
+	case <-h.release:
+		return answerWith(h.answer, int64(len(h.answer)))
+	case <-ctx.Done():
+		return call.Refuse(call.Unknown, call.RefusedCancelled, ctx.Err().Error())
+	}
+}
+
+// result is what Do returned.
+type result struct {
+	answer *call.Answer
+	err    error
+}
+
+func doAsync(p *Pool, addr string, r *call.Request) <-chan result {
+	done := make(chan result, 1)
+	go func() {
+		answer, err := p.Do(context.Background(), addr, ClassUrgent, r)
+		done <- result{answer, err}
+	}()
+	return done
+}
+
+var breakages = []struct {
+	name  string
+	apply func(*relay)
+}{
+	{"silent in both directions", func(r *relay) { r.freeze(true, true) }},
+	{"silent towards the serving side", func(r *relay) { r.freeze(true, false) }},
+	{"silent towards the calling side", func(r *relay) { r.freeze(false, true) }},
+	{"cut", func(r *relay) { r.cut() }},
+}
+
+func TestAnswerIsFetchedWhenTheLinkBreaksWhileTheRequestRuns(t *testing.T) {
+	for _, b := range breakages {
+		t.Run(b.name, func(t *testing.T) {
+			is := is.New(t)
+			server := newHeld([]byte("ruled"))
+			p := newPeer(t, "k", server)
+			r := newRelay(t, p.addr())
+			done := doAsync(newTestPool(t, "k"), r.addr(), newRequest(nil))
+			<-server.begun
+			b.apply(r)
+			eventually(t, "resumed", func() bool { return p.listener.Stats().Resumed == 1 })
+			close(server.release)
+			got := <-done
+			is.NoErr(got.err)
+			is.Equal(content(t, got.answer), "ruled")
+			is.Equal(got.answer.Outcome, call.Ran)
+			is.Equal(server.runs.Load(), int64(1))
+		})
+	}
+}
+
+func TestAnswerIsFetchedWhenItWasSentIntoSilence(t *testing.T) {
+	is := is.New(t)
+	server := newHeld([]byte("ruled"))
+	p := newPeer(t, "k", server)
+	r := newRelay(t, p.addr())
+	done := doAsync(newTestPool(t, "k"), r.addr(), newRequest(nil))
+	<-server.begun
+	r.freeze(false, true)
+	close(server.release)
+	got := <-done
+	is.NoErr(got.err)
+	is.Equal(content(t, got.answer), "ruled")
+	is.Equal(server.runs.Load(), int64(1))
+	eventually(t, "kept answers are settled", func() bool { return p.listener.Stats().KeptAnswers == 0 })
+	is.Equal(p.listener.Stats().KeptBytes, 0)
+}
+
+func TestLongAnswerGoesOnWhenTheLinkBreaks(t *testing.T) {
+	for _, b := range breakages {
+		t.Run(b.name, func(t *testing.T) {
+			is := is.New(t)
+			archive := make([]byte, 3<<20)
+			random := rand.New(rand.NewPCG(1, 1))
+			for i := range archive {
+				archive[i] = byte(random.Uint32())
+			}
+			server := newHeld(archive)
+			close(server.release)
+			p := newPeer(t, "k", server)
+			r := newRelay(t, p.addr())
+			got := <-doAsync(newTestPool(t, "k"), r.addr(), newRequest(nil))
+			is.NoErr(got.err)
+			head := make([]byte, 1<<20)
+			n, err := got.answer.Body.Read(head)
+			is.NoErr(err)
+			b.apply(r)
+			rest := content(t, got.answer)
+			is.True(bytes.Equal(append(head[:n], rest...), archive))
+			is.Equal(server.runs.Load(), int64(1))
+		})
+	}
+}
+
+// TestRequestThatNeverArrivedIsNotRun also shows that the request does not run
+// later, when what the silent connection held arrives after all.
+func TestRequestThatNeverArrivedIsNotRun(t *testing.T) {
+	is := is.New(t)
+	server := newHeld(nil)
+	close(server.release)
+	p := newPeer(t, "k", server)
+	r := newRelay(t, p.addr())
+	pool := newTestPool(t, "k")
+	first := <-doAsync(pool, r.addr(), newRequest(nil))
+	is.NoErr(first.err)
+	is.NoErr(first.answer.Body.Close())
+	r.freeze(true, true)
+	got := <-doAsync(pool, r.addr(), newRequest([]byte("ruling")))
+	is.NoErr(got.err)
+	is.Equal(got.answer.Outcome, call.NotRun)
+	is.Equal(got.answer.Unspent, 2)
+	is.Equal(p.listener.Stats().NeverArrived, uint64(1))
+	r.thaw()
+	again := <-doAsync(pool, r.addr(), newRequest(nil))
+	is.NoErr(again.err)
+	is.Equal(server.runs.Load(), int64(2)) // the first and the last
+}
+
+func TestRequestCutInItsBodyIsNotRun(t *testing.T) {
+	is := is.New(t)
+	server := newHeld(nil)
+	p := newPeer(t, "k", server)
+	pool := newTestPool(t, "k")
+	link, err := pool.get(context.Background(), target{p.addr(), ClassUrgent})
+	is.NoErr(err)
+	s := newClientStream(newRequest(nil))
+	is.NoErr(link.open(s))
+	head := requestHead(newRequest(nil), time.Now())
+	head.Run = s.run
+	is.NoErr(link.conn.send(&wire.Frame{Type: wire.TypeRequest, Stream: s.origin, Request: head, Data: []byte("half")}))
+	link.conn.close(errors.New("broken by the test"))
+	answer := <-s.answer
+	is.Equal(answer.Outcome, call.NotRun)
+	is.Equal(server.runs.Load(), int64(0))
+}
+
+func TestAnotherProcessAtTheAddressDoesNotKnow(t *testing.T) {
+	is := is.New(t)
+	server := newHeld(nil)
+	p := newPeer(t, "k", server)
+	r := newRelay(t, p.addr())
+	done := doAsync(newTestPool(t, "k"), r.addr(), newRequest(nil))
+	<-server.begun
+	other := newPeer(t, "k", newHeld(nil))
+	r.mu.Lock()
+	r.to = other.addr()
+	r.mu.Unlock()
+	r.cut()
+	got := <-done
+	var failure *Error
+	is.True(errors.As(got.err, &failure))
+	is.True(failure.Sent)
+	is.Equal(other.listener.Stats().NotKnown, uint64(1))
+}
+
+func TestAnswersEvictedAreNotKnown(t *testing.T) {
+	is := is.New(t)
+	p := newPeer(t, "k", call.ServerFunc(echo))
+	k := p.listener.keeper
+	s := newServing(nil, []byte("session"), nil, k)
+	close(s.ended)
+	s.conn = &conn{err: ErrClosed, pending: &bytes.Buffer{}}
+	k.opened(s)
+	const answers = 2 * maxKeptBytes / (wire.MaxChunk + keptOverhead)
+	for id := uint64(1); id <= answers; id++ {
+		stream := &serverStream{
+			request: newRequest(nil), out: newOutbox(s.conn, id),
+			origin: s, originID: id, at: s, id: id, started: true,
+		}
+		is.NoErr(k.add(s, id, stream))
+		stream.out.answer(&wire.Answer{}, make([]byte, wire.MaxChunk), true)
+		k.finish(stream)
+	}
+	stats := p.listener.Stats()
+	is.True(stats.KeptBytes <= maxKeptBytes)
+	is.True(stats.Evicted > 0)
+	_, verdict := k.lookUp(&wire.Resume{Run: "gone", Session: []byte("session"), Stream: 1, Attempt: 1})
+	is.Equal(verdict, verdictUnknown)
+	_, verdict = k.lookUp(&wire.Resume{Run: "never", Session: []byte("session"), Stream: answers + 1, Attempt: 1})
+	is.Equal(verdict, verdictNeverArrived)
+	k.settle(s, answers+1)
+	is.Equal(p.listener.Stats().KeptBytes, 0)
+}
+
+// TestShutdownCutsNothing stops a peer while calls are made without pause.
+func TestShutdownCutsNothing(t *testing.T) {
+	is := is.New(t)
+	p := newPeer(t, "k", call.ServerFunc(echo))
+	pool := newTestPool(t, "k")
+	var group sync.WaitGroup
+	var answered, notSent, cut atomic.Int64
+	stop := make(chan struct{})
+	for range 8 {
+		group.Go(func() {
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				answer, err := pool.Do(context.Background(), p.addr(), ClassUrgent, newRequest([]byte("x")))
+				var failure *Error
+				switch {
+				case err == nil && content(t, answer) == "x":
+					answered.Add(1)
+				case errors.As(err, &failure) && !failure.Sent:
+					notSent.Add(1)
+					time.Sleep(time.Millisecond)
+				default:
+					cut.Add(1)
+				}
+			}
+		})
+	}
+	eventually(t, "calls", func() bool { return answered.Load() > 100 })
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	p.listener.Shutdown(ctx)
+	is.NoErr(ctx.Err())
+	eventually(t, "refusals", func() bool { return notSent.Load() > 10 })
+	close(stop)
+	group.Wait()
+	is.Equal(cut.Load(), int64(0))
+}
--- /dev/null
+++ b/node/link/relay_test.go
@@ -0,0 +1,121 @@
+package link
+
+import (
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+)
+
+// relay passes TCP connections on. Those that are open when it freezes fall
+// silent for good in one or both directions; new ones work.
+type relay struct {
+	listener net.Listener
+	to       string
+
+	mu    sync.Mutex
+	pipes []*pipe
+}
+
+// pipe is one relayed connection.
+type pipe struct {
+	calling, serving   net.Conn
+	holdUp, holdDown   atomic.Bool // towards the serving, the calling side
+	thawed             chan struct{}
+	closeOnce, thawOne sync.Once
+}
+
+func newRelay(t *testing.T, to string) *relay {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &relay{listener: l, to: to}
+	t.Cleanup(func() {
+		_ = l.Close()
+		r.each(func(p *pipe) { p.close() })
+	})
+	go r.accept()
+	return r
+}
+
+func (r *relay) addr() string { return r.listener.Addr().String() }
+
+func (r *relay) accept() {
+	for {
+		calling, err := r.listener.Accept()
+		if err != nil {
+			return
+		}
+		r.mu.Lock()
+		to := r.to
+		r.mu.Unlock()
+		serving, err := net.Dial("tcp", to)
+		if err != nil {
+			_ = calling.Close()
+			continue
+		}
+		p := &pipe{calling: calling, serving: serving, thawed: make(chan struct{})}
+		r.mu.Lock()
+		r.pipes = append(r.pipes, p)
+		r.mu.Unlock()
+		go p.copy(serving, calling, &p.holdUp)
+		go p.copy(calling, serving, &p.holdDown)
+	}
+}
+
+// copy passes bytes on. While its direction is held it passes nothing, not even
+// the end of the connection.
+func (p *pipe) copy(to, from net.Conn, hold *atomic.Bool) {
+	buffer := make([]byte, 32<<10)
+	for {
+		n, err := from.Read(buffer)
+		if hold.Load() {
+			<-p.thawed
+		}
+		if n > 0 {
+			_, _ = to.Write(buffer[:n])
+		}
+		if err != nil {
+			_ = to.Close()
+			return
+		}
+	}
+}
+
+func (p *pipe) close() {
+	p.thawOne.Do(func() { close(p.thawed) })
+	p.closeOnce.Do(func() {
+		_ = p.calling.Close()
+		_ = p.serving.Close()
+	})
+}
+
+func (r *relay) each(do func(*pipe)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, p := range r.pipes {
+		do(p)
+	}
+}
+
+// freeze silences the open connections.
+func (r *relay) freeze(up, down bool) {
+	r.each(func(p *pipe) {
+		p.holdUp.Store(up)
+		p.holdDown.Store(down)
+	})
+}
+
+// thaw lets what was held pass.
+func (r *relay) thaw() {
+	r.each(func(p *pipe) {
+		p.holdUp.Store(false)
+		p.holdDown.Store(false)
+		p.thawOne.Do(func() { close(p.thawed) })
+	})
+}
+
+// cut breaks the open connections.
+func (r *relay) cut() { r.each(func(p *pipe) { p.close() }) }
--- a/node/link/server.go
+++ b/node/link/server.go
@@ -1,10 +1,10 @@
 package link
 
 import (
+	"container/list"
 	"context"
 	"io"
 	"net/http"
-	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -13,39 +13,65 @@
 	"fuchsiavane.org/node/wire"
 )
 
-// serving is the serving side of one connection.
+// serving is the serving side of one connection. The keeper's lock guards the
+// fields below it.
 type serving struct {
-	conn   *conn
-	server call.Server
+	conn    *conn
+	server  call.Server
+	keeper  *keeper
+	session string        // the id of the link, which both sides know
+	ended   chan struct{} // closed when the reader has ended
 
-	mu      sync.Mutex
 	streams map[uint64]*serverStream
+	open    int // streams whose answer is not finished
+	// settled and forgotten are the highest ids of streams whose answers the
+	// peer has, and of streams that were dropped before.
+	settled, forgotten uint64
+	expired            bool // the link broke longer than Timing.Keep ago
 }
 
+// serverStream is one request. A request outlives the link that it came on: it
+// ends by its deadline or when the calling side cancels it.
 type serverStream struct {
-	ctx     context.Context
-	cancel  context.CancelFunc
-	request *call.Request
-	credit  *credit
+	ctx      context.Context
+	cancel   context.CancelFunc
+	request  *call.Request
+	out      *outbox
+	origin   *serving
+	originID uint64
+
+	// The keeper's lock guards the rest.
+	at                         *serving // the link that the stream is on now
+	id                         uint64
+	attempt                    int // of the ask that moved the stream last
+	started, finished, dropped bool
+	size                       int
+	element                    *list.Element
 }
 
-func newServing(c *conn, server call.Server) *serving {
-	return &serving{conn: c, server: server, streams: map[uint64]*serverStream{}}
+func newServing(c *conn, session []byte, server call.Server, k *keeper) *serving {
+	return &serving{
+		conn: c, server: server, keeper: k, session: string(session),
+		ended: make(chan struct{}), streams: map[uint64]*serverStream{},
+	}
 }
 
-// run serves until the link ends and returns why. Requests that run are
-// cancelled then.
+// run serves until the link ends and returns why. Requests that run go on.
 func (s *serving) run() error {
-	go s.conn.heartbeat()
+	s.keeper.opened(s)
+	go s.conn.heartbeat(s.keeper.timing, func() bool { return !s.keeper.idle(s) })
 	s.conn.close(s.conn.read(s.handle))
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, stream := range s.streams {
-		stream.cancel()
-	}
+	close(s.ended)
+	s.keeper.broken(s)
 	return s.conn.reason()
 }
 
+// end closes the link and waits until no frame of it is handled any more.
+func (s *serving) end(reason error) {
+	s.conn.close(reason)
+	<-s.ended
+}
+
 func (s *serving) handle(f wire.Frame) error {
 	switch f.Type {
 	case wire.TypePing:
@@ -55,6 +81,11 @@
 		return nil
 	case wire.TypeRequest:
 		return s.begin(f)
+	case wire.TypeResume:
+		return s.resume(f)
+	case wire.TypeSettled:
+		s.keeper.settle(s, f.Stream)
+		return nil
 	case wire.TypeData, wire.TypeCredit, wire.TypeCancel:
 		return s.handleStream(f)
 	}
@@ -62,22 +93,20 @@
 }
 
 func (s *serving) begin(f wire.Frame) error {
-	stream := &serverStream{request: requestOf(f.Request, time.Now()), credit: newCredit(wire.InitialCredit)}
+	stream := &serverStream{
+		request: requestOf(f.Request, time.Now()),
+		out:     newOutbox(s.conn, f.Stream),
+		origin:  s, originID: f.Stream, at: s, id: f.Stream,
+		started: f.End,
+	}
+	stream.request.Body = f.Data
 	stream.ctx, stream.cancel = context.WithDeadline(context.Background(), stream.request.Deadline)
-	s.mu.Lock()
-	_, used := s.streams[f.Stream]
-	full := len(s.streams) >= wire.MaxStreams
-	if !used && !full {
-		s.streams[f.Stream] = stream
-	}
-	s.mu.Unlock()
-	if used || full {
+	if err := s.keeper.add(s, f.Stream, stream); err != nil {
 		stream.cancel()
-		return errors.Wrapf(ErrMalformed, "stream %d is open already or one too many", f.Stream)
+		return err
 	}
-	stream.request.Body = f.Data
 	if f.End {
-		go s.serve(f.Stream, stream)
+		go stream.serve(s.server, s.keeper)
 	}
 	return nil
 }
@@ -96,17 +125,16 @@
 }
 
 func (s *serving) handleStream(f wire.Frame) error {
-	s.mu.Lock()
-	stream := s.streams[f.Stream]
-	s.mu.Unlock()
+	stream := s.keeper.find(s, f.Stream)
 	if stream == nil {
 		return nil // the stream has ended
 	}
 	switch f.Type {
 	case wire.TypeCredit:
-		stream.credit.grant(int(f.Credit))
+		stream.out.grant(int(f.Credit))
 	case wire.TypeCancel:
 		stream.cancel()
+		s.keeper.drop(stream)
 	case wire.TypeData:
 		return s.receive(f, stream)
 	}
@@ -114,60 +142,83 @@
 }
 
 func (s *serving) receive(f wire.Frame, stream *serverStream) error {
+	if s.keeper.isStarted(stream) {
+		return errors.Wrapf(ErrMalformed, "stream %d has a body after its end", f.Stream)
+	}
 	if len(stream.request.Body)+len(f.Data) > call.MaxRequestBody {
 		return errors.Wrapf(ErrMalformed, "request body is larger than %d bytes", call.MaxRequestBody)
 	}
 	stream.request.Body = append(stream.request.Body, f.Data...)
 	if f.End {
-		go s.serve(f.Stream, stream)
+		if s.keeper.start(stream) {
+			go stream.serve(s.server, s.keeper)
+		}
 		return nil
 	}
 	s.conn.post(&wire.Frame{Type: wire.TypeCredit, Stream: f.Stream, Credit: uint32(len(f.Data))})
 	return nil
 }
 
-// serve runs one request and sends its answer.
-func (s *serving) serve(id uint64, stream *serverStream) {
-	defer s.end(id, stream)
-	answer := s.server.Serve(stream.ctx, stream.request)
-	defer answer.Body.Close()
-	if err := s.sendAnswer(id, stream, answer); err != nil {
-		_ = s.conn.send(&wire.Frame{Type: wire.TypeReset, Stream: id, Reason: err.Error()})
-	}
+// resume answers a calling side that asks for a run whose link broke. It waits
+// for the end of older links and for room, which the reader must not.
+func (s *serving) resume(f wire.Frame) error {
+	if string(f.Resume.Session) == s.session {
+		return errors.Wrap(ErrMalformed, "a request is asked for on the link that it was sent on")
+	}
+	go func() {
+		stream, verdict := s.keeper.lookUp(f.Resume)
+		if verdict != verdictFound {
+			s.conn.post(&wire.Frame{Type: wire.TypeAbsent, Stream: f.Stream, NeverArrived: verdict == verdictNeverArrived})
+			return
+		}
+		if f.Resume.Cancel {
+			stream.cancel()
+			s.keeper.drop(stream)
+			return
+		}
+		if from := s.keeper.move(stream, s, f.Stream, f.Resume.Attempt); from != nil {
+			from.end(ErrReplaced)
+			stream.out.resume(s.conn, f.Stream, f.Resume)
+		}
+	}()
+	return nil
 }
 
-func (s *serving) end(id uint64, stream *serverStream) {
-	stream.cancel()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	delete(s.streams, id)
+// serve runs the request and sends its answer.
+func (stream *serverStream) serve(server call.Server, k *keeper) {
+	defer stream.cancel()
+	defer k.finish(stream)
+	answer := server.Serve(stream.ctx, stream.request)
+	defer answer.Body.Close()
+	if err := stream.sendAnswer(answer); err != nil {
+		stream.out.cut(err.Error())
+	}
 }
 
-func (s *serving) sendAnswer(id uint64, stream *serverStream, answer *call.Answer) error {
-	frame := wire.Frame{Type: wire.TypeAnswer, Stream: id, Answer: answerHead(answer)}
+func (stream *serverStream) sendAnswer(answer *call.Answer) error {
+	head := answerHead(answer)
 	if answer.Length >= 0 && answer.Length <= wire.MaxChunk {
-		data, err := io.ReadAll(answer.Body)
-		if err != nil {
-			return err
+		data := make([]byte, answer.Length)
+		if _, err := io.ReadFull(answer.Body, data); err != nil {
+			return errors.Wrap(err, "answer body")
 		}
-		frame.Data, frame.End = data, true
-		return s.conn.send(&frame)
-	}
-	if err := s.conn.send(&frame); err != nil {
-		return err
+		stream.out.answer(head, data, true)
+		return nil
 	}
-	return s.sendBody(id, stream, answer.Body)
+	stream.out.answer(head, nil, false)
+	return stream.sendBody(answer.Body)
 }
 
-func (s *serving) sendBody(id uint64, stream *serverStream, from io.Reader) error {
+func (stream *serverStream) sendBody(from io.Reader) error {
 	buffer := make([]byte, wire.MaxChunk)
 	for {
 		n, readErr := from.Read(buffer)
-		if err := s.sendPiece(id, stream, buffer[:n]); err != nil {
+		if err := stream.sendPiece(buffer[:n]); err != nil {
 			return err
 		}
 		if errors.Is(readErr, io.EOF) {
-			return s.conn.send(&wire.Frame{Type: wire.TypeData, Stream: id, End: true})
+			stream.out.data(nil, true)
+			return nil
 		}
 		if readErr != nil {
 			return readErr
@@ -175,15 +226,13 @@
 	}
 }
 
-func (s *serving) sendPiece(id uint64, stream *serverStream, piece []byte) error {
+func (stream *serverStream) sendPiece(piece []byte) error {
 	for len(piece) > 0 {
-		n, err := stream.credit.take(stream.ctx, s.conn.done, len(piece))
+		n, err := stream.out.credit.take(stream.ctx, nil, len(piece))
 		if err != nil {
 			return err
 		}
-		if err := s.conn.send(&wire.Frame{Type: wire.TypeData, Stream: id, Data: piece[:n]}); err != nil {
-			return err
-		}
+		stream.out.data(piece[:n], false)
 		piece = piece[n:]
 	}
 	return nil
--- /dev/null
+++ b/node/link/timing.go
@@ -0,0 +1,32 @@
+package link
+
+import "time"
+
+// Timing is the times by which links judge their peers.
+type Timing struct {
+	// Heartbeat is the pause between pings while a call waits, and between
+	// looks at the link.
+	Heartbeat time.Duration
+	// IdleHeartbeat is the pause between pings while no call is in progress.
+	IdleHeartbeat time.Duration
+	// Silence is the time without an answer to a ping after which a link is
+	// given up.
+	Silence time.Duration
+	// Recovery bounds the time in which the calling side tries to open a new
+	// link for the calls of one that broke.
+	Recovery time.Duration
+	// Keep is the time for which the serving side remembers a broken link's
+	// requests and answers. It is longer than Recovery.
+	Keep time.Duration
+}
+
+// DefaultTiming returns the times for links between data centres.
+func DefaultTiming() Timing {
+	return Timing{
+		Heartbeat:     250 * time.Millisecond,
+		IdleHeartbeat: 10 * time.Second,
+		Silence:       750 * time.Millisecond,
+		Recovery:      10 * time.Second,
+		Keep:          30 * time.Second,
+	}
+}
--- a/node/wire/wire.go
+++ b/node/wire/wire.go
@@ -14,6 +14,8 @@
 
 // Limits of the protocol.
 const (
+	// MaxNameBytes bounds the instance id of a hello and the id of a run.
+	MaxNameBytes = 256
 	// MaxChunk is the largest piece of a body in one frame, in bytes.
 	MaxChunk = 16 << 10
 	// MaxMessage is the largest WebSocket message, in bytes.
@@ -41,6 +43,14 @@
 	TypePing    Type = 9
 	TypePong    Type = 10
 	TypeGoAway  Type = 11
+	// TypeResume asks, on a new link, for the answer of a request that was sent
+	// on a link that broke.
+	TypeResume Type = 12
+	// TypeAbsent answers TypeResume when there is no such run.
+	TypeAbsent Type = 13
+	// TypeSettled says that the answers of all streams below Stream were
+	// received or given up, so that the serving side may forget them.
+	TypeSettled Type = 14
 )
 
 // Frame is one message of a link. Which fields are set depends on Type.
@@ -56,7 +66,32 @@
 	// Credit is the body bytes granted by TypeCredit.
 	Credit uint32 `cbor:"8,keyasint,omitempty"`
 	// Reason explains TypeReset and TypeGoAway.
-	Reason string `cbor:"9,keyasint,omitempty"`
+	Reason string  `cbor:"9,keyasint,omitempty"`
+	Resume *Resume `cbor:"10,keyasint,omitempty"`
+	// NeverArrived, in TypeAbsent, says that the request did not run and never
+	// will. Without it nothing is known of the request.
+	NeverArrived bool `cbor:"11,keyasint,omitempty"`
+}
+
+// Resume names a run whose link broke, and the part of its answer that the
+// calling side has.
+type Resume struct {
+	// Run is the run's id.
+	Run string `cbor:"1,keyasint"`
+	// Session and Stream are the link and stream on which the request was sent.
+	Session []byte `cbor:"2,keyasint"`
+	Stream  uint64 `cbor:"3,keyasint"`
+	// Attempt counts the links on which the run was asked for, from 1. Of two
+	// asks that cross, the higher one holds.
+	Attempt int `cbor:"4,keyasint"`
+	// Answered says that the head of the answer was received.
+	Answered bool `cbor:"5,keyasint,omitempty"`
+	// Offset is the body bytes received and Granted the credit granted, both
+	// since the beginning of the body.
+	Offset  uint64 `cbor:"6,keyasint,omitempty"`
+	Granted uint64 `cbor:"7,keyasint,omitempty"`
+	// Cancel gives the run up instead.
+	Cancel bool `cbor:"8,keyasint,omitempty"`
 }
 
 // Hello introduces one side of a link.
@@ -116,6 +151,8 @@
 
 func mustDecMode() cbor.DecMode {
 	mode, err := cbor.DecOptions{
+		// Header values may hold any byte. Source: RFC 9110, section 5.5.
+		UTF8:             cbor.UTF8DecodeInvalid,
 		MaxNestedLevels:  8,
 		MaxArrayElements: 1024,
 		MaxMapPairs:      1024,
@@ -145,18 +182,25 @@
 	}
 	switch f.Type {
 	case TypeHello, TypeProof:
-		if f.Hello == nil {
-			return errors.Errorf("frame type %d without hello", f.Type)
+		if f.Hello == nil || len(f.Hello.Instance) > MaxNameBytes {
+			return errors.Errorf("frame type %d without a hello of bounded names", f.Type)
 		}
 	case TypeRequest:
 		if f.Request == nil || f.Stream == 0 {
 			return errors.New("request frame without head or stream")
 		}
+		if f.Request.Run == "" || len(f.Request.Run) > MaxNameBytes {
+			return errors.New("request frame without a run id of bounded length")
+		}
 	case TypeAnswer:
 		if f.Answer == nil || f.Stream == 0 {
 			return errors.New("answer frame without head or stream")
 		}
-	case TypeData, TypeCredit, TypeCancel, TypeReset:
+	case TypeResume:
+		if f.Resume == nil || f.Stream == 0 || f.Resume.Run == "" {
+			return errors.New("resume frame without run or stream")
+		}
+	case TypeData, TypeCredit, TypeCancel, TypeReset, TypeAbsent, TypeSettled:
 		if f.Stream == 0 {
 			return errors.Errorf("frame type %d without stream", f.Type)
 		}
