--- a/node/daemon/once.go
+++ b/node/daemon/once.go
@@ -36,6 +36,9 @@
 	d.metrics.Gauge(`fuchsiavane_once_keys_total{verdict="refused"}`, status(func(s once.Status) float64 { return float64(s.Refused) }))
 }
 
+// Claims returns what this daemon holds of the keys of non-idempotent requests.
+func (d *Daemon) Claims() once.Status { return d.keeper.Status() }
+
 // liveOfService returns the instances of the own service that take new work,
 // sorted.
 func (d *Daemon) liveOfService() []string {
