Find requests that crash upstreams and quarantine them

A request that killed each upstream that ran it was retried and resent until none was left. The daemon now takes what was in flight when its upstream died: such a request runs alone until it has ended well, and is refused with 422 once it alone was in two crashes. The mark rides on answers and retries, so the next instance knows it before any peer is told.

--- a/node/daemon/daemon.go
+++ b/node/daemon/daemon.go
@@ -23,6 +23,7 @@
 	"fuchsiavane.org/node/platform"
 	"fuchsiavane.org/node/runs"
 	"fuchsiavane.org/node/settingsync"
+	"fuchsiavane.org/node/suspect"
 	"fuchsiavane.org/node/upstream"
 )
 
@@ -46,6 +47,7 @@
 	runner   *upstream.Runner
 	own      call.Server // what stands in front of the runner
 	keeper   *once.Keeper
+	guard    *suspect.Guard
 	gateway  *gateway.Gateway
 	far      *gateway.FarLink
 	metrics  *metrics.Metrics
@@ -75,13 +77,13 @@
 	d.syncer = settingsync.NewSyncer(store, d.settings, log)
 	d.gate = upstream.NewGate(c.Service, d.settings)
 	d.runner = upstream.NewRunner(base, d.gate, table)
-	d.guardOwn(store)
+	d.guardOwn(store, base)
 	d.pool = link.NewPool(identity, log)
 	d.listener = link.NewListener(identity, d.own, log)
 	d.gateway = gateway.New(gateway.Config{
 		Instance: c.InstanceID, Place: route.Place{Region: c.Region, DataCentre: c.DataCentre},
 		Settings: d.settings, Picker: d.picker, Far: d.far, Transport: d.pool,
-		Own: d.own, Runs: table, Observer: d.metrics, Log: log,
+		Own: d.own, Runs: table, Suspects: d.guard.Ledger(), Observer: d.metrics, Log: log,
 	})
 	self := route.Peer{
 		ID: c.InstanceID, Service: c.Service, Region: c.Region, DataCentre: c.DataCentre,
--- a/node/daemon/once.go
+++ b/node/daemon/once.go
@@ -2,22 +2,27 @@
 
 import (
 	"context"
+	"net/url"
 	"time"
 
 	"fuchsiavane.org/node/event"
 	"fuchsiavane.org/node/once"
 	"fuchsiavane.org/node/platform"
+	"fuchsiavane.org/node/suspect"
 )
 
 // guardOwn puts in front of the runner what decides whether a request may run
 // at all.
-func (d *Daemon) guardOwn(store platform.Store) {
+func (d *Daemon) guardOwn(store platform.Store, base *url.URL) {
 	d.keeper = once.NewKeeper(once.Config{
 		Instance: d.config.InstanceID, Service: d.config.Service,
 		Store: store, Live: d.liveOfService, Log: d.log,
 	})
-	d.own = once.NewServer(d.keeper, d.runner)
+	d.guard = suspect.NewGuard(d.runner, base.Host, nil, d.log)
+	d.own = once.NewServer(d.keeper, d.guard)
 	d.gaugeClaims()
+	d.metrics.Gauge("fuchsiavane_upstream_crashes_total", func() float64 { return float64(d.guard.Crashes()) })
+	d.metrics.Gauge("fuchsiavane_suspects", func() float64 { return float64(len(d.guard.Ledger().List(time.Now()))) })
 }
 
 func (d *Daemon) gaugeClaims() {
--- a/node/event/catalogue.go
+++ b/node/event/catalogue.go
@@ -19,6 +19,8 @@
 	LinkMalformed      = Event{304, "link-malformed", plog.WarnLevel, "A frame could not be decoded or broke a rule of the protocol; the link was ended."}
 	PeersChanged       = Event{401, "peers-changed", plog.InfoLevel, "The set of known peers changed."}
 	BadCallerInput     = Event{501, "request-malformed", plog.InfoLevel, "A caller's request was malformed and refused."}
+	UpstreamCrashed    = Event{510, "upstream-crashed", plog.WarnLevel, "The upstream died with requests in flight. Each of them runs alone from now on, until it has ended well."}
+	RequestQuarantined = Event{511, "request-quarantined", plog.ErrorLevel, "A request has crashed two upstreams and is refused with 422 for an hour. Find it by its fingerprint and mend the upstream."}
 	ClaimsNotRefreshed = Event{603, "claims-not-refreshed", plog.WarnLevel, "The claims on keys of non-idempotent requests could not be refreshed. The instance runs such requests until its claims end; see docs/operations/once.md."}
 	ClaimsNotReleased  = Event{604, "claims-not-released", plog.WarnLevel, "A leaving instance could not give up its claims. The keys that it owned are refused until the claims end."}
 	PlatformAway       = Event{601, "platform-away", plog.WarnLevel, "The platform's store does not answer. The daemon goes on with what it holds."}
@@ -32,6 +34,6 @@
 		SettingsInForce, SettingsRefused, SettingsOlder,
 		LinkOpened, LinkClosed, LinkRefused, LinkMalformed,
 		PeersChanged, BadCallerInput, PlatformAway, PlatformBack,
-		ClaimsNotRefreshed, ClaimsNotReleased,
+		ClaimsNotRefreshed, ClaimsNotReleased, UpstreamCrashed, RequestQuarantined,
 	}
 }
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -12,6 +12,7 @@
 	"fuchsiavane.org/core/retry"
 	"fuchsiavane.org/core/route"
 	"fuchsiavane.org/core/settings"
+	"fuchsiavane.org/core/suspect"
 	"fuchsiavane.org/node/call"
 	"fuchsiavane.org/node/event"
 	"fuchsiavane.org/node/link"
@@ -41,8 +42,10 @@
 	Place     route.Place
 	Transport Transport
 	// Own runs requests at the own upstream.
-	Own      call.Server
-	Runs     *runs.Table
+	Own  call.Server
+	Runs *runs.Table
+	// Suspects are the requests that may crash upstreams.
+	Suspects *suspect.Ledger
 	Observer Observer
 	Log      *event.Logger
 }
@@ -69,19 +72,26 @@
 // while that is allowed. budget holds the retries of the call's parent.
 func (g *Gateway) Call(ctx context.Context, r *call.Request, values *settings.Values, budget *retry.Budget) *call.Answer {
 	g.ratios.First(r.Service, values.RetryRatio)
+	if refusal := g.suspicion(r); refusal != nil {
+		return refusal
+	}
 	if !r.Idempotent {
 		return g.callOwner(ctx, r, values, budget)
 	}
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
 	var tried []string
+	lost := false
 	for {
 		answer, peer := g.attempt(ctx, r, values, budget, tried)
+		g.carrySuspicion(r, answer)
 		if !g.again(ctx, r, values, answer, tried, peer, budget) {
+			settleOutcome(answer, lost)
 			answer.Body = &cancellingBody{answer.Body, cancel}
 			return answer
 		}
 		_ = answer.Body.Close()
 		tried = append(tried, peer)
+		lost = lost || answer.Outcome != call.NotRun
 	}
 }
 
--- a/node/gateway/http.go
+++ b/node/gateway/http.go
@@ -17,6 +17,7 @@
 	"fuchsiavane.org/node/call"
 	"fuchsiavane.org/node/event"
 	"fuchsiavane.org/node/problem"
+	"fuchsiavane.org/node/suspect"
 )
 
 // maxKeyBytes bounds an idempotency key.
@@ -239,6 +240,7 @@
 	header := from.Clone()
 	call.RemoveHopByHop(header)
 	header.Del(call.HeaderService)
+	header.Del(suspect.HeaderSuspect)
 	return header
 }
 
--- a/node/gateway/owner.go
+++ b/node/gateway/owner.go
@@ -229,6 +229,7 @@
 			return s.refuse(call.RefusedNoUpstream, "no instance of service "+s.request.Service+" is known")
 		}
 		answer, byOwner := s.send(ctx, peer)
+		s.gateway.carrySuspicion(s.request, answer)
 		if !s.again(ctx, answer, byOwner, peer) {
 			return s.outcome(answer, byOwner)
 		}
@@ -313,6 +314,9 @@
 		if !byOwner && answer.Outcome == call.NotRun {
 			return s.pass(ctx, peer)
 		}
+		if byOwner && answer.Outcome == call.Unknown {
+			return false // the owner knows no more
+		}
 	case call.RefusedDraining:
 	default:
 		return false
--- a/node/gateway/retries.go
+++ b/node/gateway/retries.go
@@ -7,7 +7,9 @@
 
 	"fuchsiavane.org/core/retry"
 	"fuchsiavane.org/core/settings"
+	coresuspect "fuchsiavane.org/core/suspect"
 	"fuchsiavane.org/node/call"
+	"fuchsiavane.org/node/suspect"
 )
 
 // again decides whether to send an idempotent request once more, pays for it,
@@ -26,6 +28,45 @@
 	return false
 }
 
+// settleOutcome corrects the outcome of a call of which an earlier attempt may
+// have run.
+func settleOutcome(answer *call.Answer, earlier bool) {
+	if earlier && answer.Outcome == call.NotRun {
+		answer.Outcome = call.Unknown
+	}
+}
+
+// suspicion marks a request that is known to have been in flight when an
+// upstream died, and refuses one that is quarantined. The answer is nil if the
+// request may go on.
+func (g *Gateway) suspicion(r *call.Request) *call.Answer {
+	if g.Suspects.Empty() {
+		return nil
+	}
+	switch g.Suspects.Judge(time.Now(), suspect.PrintOf(r)) {
+	case coresuspect.Quarantined:
+		return suspect.Refuse(r)
+	case coresuspect.Alone:
+		r.Header.Set(suspect.HeaderSuspect, suspect.MarkAlone)
+	}
+	return nil
+}
+
+// carrySuspicion remembers a request that was in flight when its upstream died,
+// so that the next instance runs it alone.
+func (g *Gateway) carrySuspicion(r *call.Request, answer *call.Answer) {
+	mark := answer.Header.Get(suspect.HeaderSuspect)
+	if mark == "" {
+		return
+	}
+	delete(answer.Header, suspect.HeaderSuspect)
+	if answer.Refusal == call.RefusedNone {
+		return // not made by a daemon
+	}
+	r.Header.Set(suspect.HeaderSuspect, mark)
+	suspect.Learn(g.Suspects, suspect.PrintOf(r), mark)
+}
+
 // payRetry takes one retry from the request's budget and from the service's
 // ratio.
 func (g *Gateway) payRetry(r *call.Request, values *settings.Values, budget *retry.Budget) bool {
