--- a/node/metrics/metrics.go
+++ b/node/metrics/metrics.go
@@ -5,8 +5,10 @@
 import (
 	"fmt"
 	"io"
+	"strings"
 	"sync"
 	"time"
+	"unicode/utf8"
 
 	vm "github.com/VictoriaMetrics/metrics"
 
@@ -14,10 +16,14 @@
 )
 
 const (
-	// maxCallers and maxServices bound the label values that are kept apart.
+	// maxCallers, maxServices and maxRanks bound the label values that are kept
+	// apart.
 	maxCallers  = 64
 	maxServices = 64
-	// other is the label of names beyond the bound.
+	maxRanks    = 32
+	// maxSeries bounds the series kept for calls, all labels together.
+	maxSeries = 1000
+	// other is the label of names beyond a bound.
 	other = "other"
 )
 
@@ -26,6 +32,7 @@
 	set      *vm.Set
 	callers  *names
 	services *names
+	ranks    *names
 
 	mu     sync.RWMutex
 	series map[seriesKey]*series
@@ -48,13 +55,14 @@
 		set:      vm.NewSet(),
 		callers:  newNames(maxCallers),
 		services: newNames(maxServices),
+		ranks:    newNames(maxRanks),
 		series:   map[seriesKey]*series{},
 	}
 }
 
 // Called implements gateway.Observer.
 func (m *Metrics) Called(service, caller, rank string, outcome call.Outcome, refusal call.Refusal, took time.Duration) {
-	key := seriesKey{m.services.bounded(service), m.callers.bounded(caller), rank, outcome, refusal}
+	key := seriesKey{m.services.bounded(service), m.callers.bounded(caller), m.ranks.bounded(rank), outcome, refusal}
 	s := m.find(key)
 	s.calls.Inc()
 	s.seconds.Update(took.Seconds())
@@ -72,15 +80,41 @@
 	if s = m.series[key]; s != nil {
 		return s
 	}
-	labels := fmt.Sprintf(`{service=%q,caller=%q,rank=%q`, key.service, key.caller, key.rank)
-	s = &series{
-		calls:   m.set.GetOrCreateCounter("fuchsiavane_calls_total" + labels + fmt.Sprintf(`,outcome=%q,refusal=%q}`, key.outcome, key.refusal)),
-		seconds: m.set.GetOrCreateHistogram("fuchsiavane_call_seconds" + labels + "}"),
+	if len(m.series) >= maxSeries {
+		key.service, key.caller = other, other
+		if s = m.series[key]; s != nil {
+			return s
+		}
 	}
+	s = m.add(key)
 	m.series[key] = s
 	return s
 }
 
+// add registers the series of a key. The caller holds the lock.
+func (m *Metrics) add(key seriesKey) *series {
+	labels := fmt.Sprintf(`{service=%s,caller=%s,rank=%s`, labelValue(key.service), labelValue(key.caller), labelValue(key.rank))
+	return &series{
+		calls: m.set.GetOrCreateCounter("fuchsiavane_calls_total" + labels +
+			fmt.Sprintf(`,outcome=%s,refusal=%s}`, labelValue(string(key.outcome)), labelValue(string(key.refusal)))),
+		seconds: m.set.GetOrCreateHistogram("fuchsiavane_call_seconds" + labels + "}"),
+	}
+}
+
+// labelValue quotes a name, which comes from a request, for the Prometheus text
+// format. Bytes that the format could not carry become "_".
+func labelValue(name string) string {
+	clean := func(r rune) rune {
+		if r < ' ' || r == 0x7f || r == utf8.RuneError {
+			return '_'
+		}
+		return r
+	}
+	return `"` + labelEscapes.Replace(strings.Map(clean, name)) + `"`
+}
+
+var labelEscapes = strings.NewReplacer(`\`, `\\`, `"`, `\"`)
+
 // Counter returns the counter of a name with labels.
 func (m *Metrics) Counter(name string) *vm.Counter { return m.set.GetOrCreateCounter(name) }
 
