--- a/core/settings/diff.go
+++ b/core/settings/diff.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"strconv"
 	"strings"
 
 	"fuchsiavane.org/core/jsontree"
@@ -69,6 +70,10 @@
 		}
 	case pointer == "/ranks" && n.Kind == jsontree.Array:
 		flattenRanks(flat, n, pointer)
+	case n.Kind == jsontree.Array && len(n.Items) > 0:
+		for i, item := range n.Items {
+			flattenNode(flat, item, pointer+"/"+strconv.Itoa(i))
+		}
 	default:
 		flat[pointer] = n.Compact()
 	}
--- a/lab/scenario/commands_test.go
+++ b/lab/scenario/commands_test.go
@@ -4,9 +4,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"os"
-	"os/exec"
-	"path/filepath"
 	"regexp"
 	"slices"
 	"strconv"
@@ -15,7 +12,7 @@
 	"syscall"
 	"time"
 
-	"github.com/pkg/errors"
+	"github.com/google/uuid"
 	"github.com/rogpeppe/go-internal/testscript"
 )
 
@@ -36,12 +33,17 @@
 	"finished": waitFinished,
 	"expect":   expect,
 	"log":      matchLog,
+	"audit":    audit,
+	"runs":     countRuns,
 	"exits":    exits,
 	"race":     race,
 }
 
 func startPlatform(ts *testscript.TestScript, _ bool, _ []string) {
-	addr := freeAddrs(ts, 1)[0]
+	addr := strings.TrimPrefix(ts.Getenv("platform"), "http://") // again, after it was killed
+	if addr == "" {
+		addr = freeAddrs(ts, 1)[0]
+	}
 	worldOf(ts).start(ts, "platform", "platform", "-listen", addr)
 	ts.Setenv("platform", "http://"+addr)
 	ts.Setenv("FUCHSIAVANE_PLATFORM", "http://"+addr)
@@ -127,6 +129,7 @@
 	ts.Check(err)
 	callers, err := strconv.Atoi(flags["callers"])
 	ts.Check(err)
+	w := worldOf(ts)
 	var mu sync.Mutex
 	counts := map[string]int{}
 	var group sync.WaitGroup
@@ -135,7 +138,10 @@
 		request := newRequest(ts, args, flags, headers)
 		group.Go(func() {
 			for time.Now().Before(end) {
-				result := sendOne(request.Clone(request.Context()))
+				one := request.Clone(request.Context())
+				one.Header.Set("Idempotency-Key", uuid.Must(uuid.NewV7()).String())
+				result := sendOne(one)
+				w.note(one, result)
 				mu.Lock()
 				counts[result]++
 				mu.Unlock()
@@ -229,47 +235,3 @@
 		ts.Fatalf("log of %s (match wanted: %v) %q:\n%s", args[0], !neg, args[1], output)
 	}
 }
-
-// exits runs a program and compares its exit status.
-func exits(ts *testscript.TestScript, _ bool, args []string) {
-	if len(args) < 2 {
-		ts.Fatalf("usage: exits STATUS PROGRAM [arguments]")
-	}
-	want, err := strconv.Atoi(args[0])
-	ts.Check(err)
-	got := 0
-	if err := ts.Exec(args[1], args[2:]...); err != nil {
-		var failure *exec.ExitError
-		if !errors.As(err, &failure) {
-			ts.Fatalf("%s: %v", args[1], err)
-		}
-		got = failure.ExitCode()
-	}
-	if got != want {
-		ts.Fatalf("%s: exit status %d, want %d", strings.Join(args[1:], " "), got, want)
-	}
-}
-
-// race runs one command line several times at once and prints how many ended
-// with each exit status.
-func race(ts *testscript.TestScript, _ bool, args []string) {
-	if len(args) < 2 {
-		ts.Fatalf("usage: race TIMES PROGRAM [arguments]")
-	}
-	times, err := strconv.Atoi(args[0])
-	ts.Check(err)
-	statuses := make([]int, times)
-	var group sync.WaitGroup
-	for i := range times {
-		cmd := exec.Command(filepath.Join(binaries, args[1]), args[2:]...)
-		cmd.Dir = ts.MkAbs(".")
-		cmd.Env = append(os.Environ(), "FUCHSIAVANE_PLATFORM="+ts.Getenv("FUCHSIAVANE_PLATFORM"))
-		group.Go(func() {
-			_ = cmd.Run()
-			statuses[i] = cmd.ProcessState.ExitCode()
-		})
-	}
-	group.Wait()
-	slices.Sort(statuses)
-	fmt.Fprintf(ts.Stdout(), "statuses %v\n", statuses)
-}
--- a/lab/scenario/scenario_test.go
+++ b/lab/scenario/scenario_test.go
@@ -43,13 +43,12 @@
 }
 
 func TestScenarios(t *testing.T) {
-	testscript.Run(t, testscript.Params{
-		Dir: filepath.Join("testdata", "script"),
-		Setup: func(env *testscript.Env) error {
-			env.Setenv("PATH", binaries+string(os.PathListSeparator)+os.Getenv("PATH"))
-			env.Values[worldKey] = newWorld(env)
-			return nil
-		},
-		Cmds: commands,
-	})
+	testscript.Run(t, testscript.Params{Dir: filepath.Join("testdata", "script"), Setup: setup, Cmds: commands})
+}
+
+// setup gives each script the programs and a world of its own.
+func setup(env *testscript.Env) error {
+	env.Setenv("PATH", binaries+string(os.PathListSeparator)+os.Getenv("PATH"))
+	env.Values[worldKey] = newWorld(env)
+	return nil
 }
--- a/lab/scenario/world_test.go
+++ b/lab/scenario/world_test.go
@@ -31,10 +31,12 @@
 type world struct {
 	mu        sync.Mutex
 	processes map[string]*process
+	// sent are the requests of floods by idempotency key.
+	sent map[string]sentRequest
 }
 
 func newWorld(env *testscript.Env) *world {
-	w := &world{processes: map[string]*process{}}
+	w := &world{processes: map[string]*process{}, sent: map[string]sentRequest{}}
 	env.Defer(w.stop)
 	return w
 }
--- a/node/demo/demo.go
+++ b/node/demo/demo.go
@@ -35,6 +35,19 @@
 	workTime = 20 * time.Millisecond
 )
 
+const (
+	introduction = `Two services of two upstreams each, every upstream with its daemon, in one process.
+Callers ask bench, which asks registry for each request; registry has 8 slots at
+each upstream and takes 20 ms. Ranks: ruling (protected), lookup, bulk.
+`
+	legend = `
+whole:        complete answers
+not run:      refused before any upstream was given a byte; safe to send again
+refused deep: ran at bench, refused at registry
+p50, p99:     time to a complete answer
+`
+)
+
 // system is what the demo has started.
 type system struct {
 	stop     context.CancelFunc
@@ -59,11 +72,12 @@
 	if err := s.ready(ctx); err != nil {
 		return err
 	}
-	fmt.Fprintln(out, "two services (bench, registry) of two upstreams each; bench calls registry")
+	fmt.Fprint(out, introduction)
 	calm := load(ctx, s.entries, calmTime, false)
 	flood := load(ctx, s.entries, floodTime, true)
 	report(out, "calm", calm, calmTime)
 	report(out, "flood of bulk", flood, floodTime)
+	fmt.Fprint(out, legend)
 	return ctx.Err()
 }
 
--- a/node/demo/load.go
+++ b/node/demo/load.go
@@ -34,8 +34,10 @@
 
 // tally is what became of the requests of one rank.
 type tally struct {
-	sent, whole, refused, other int
-	latencies                   []time.Duration
+	// whole answers, requests refused before anything ran, requests that ran at
+	// bench and were refused at registry, and all others.
+	sent, whole, notRun, refusedDeep, other int
+	latencies                               []time.Duration
 }
 
 // results collects tallies by rank.
@@ -108,7 +110,9 @@
 		t.whole++
 		t.latencies = append(t.latencies, took)
 	case outcome == call.NotRun:
-		t.refused++
+		t.notRun++
+	case status == http.StatusServiceUnavailable:
+		t.refusedDeep++
 	default:
 		t.other++
 	}
@@ -117,14 +121,14 @@
 func report(out io.Writer, title string, r *results, length time.Duration) {
 	fmt.Fprintf(out, "\n%s, %v:\n", title, length)
 	table := tabwriter.NewWriter(out, 0, 8, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(table, "rank\tsent\twhole\tnot run\tother\twhole/s\tp50 ms\tp99 ms\t")
+	fmt.Fprintln(table, "rank\tsent\twhole\tnot run\trefused deep\tother\twhole/s\tp50 ms\tp99 ms\t")
 	for _, k := range calmKinds {
 		t := r.ranks[k.rank]
 		if t == nil {
 			continue
 		}
 		slices.Sort(t.latencies)
-		fmt.Fprintf(table, "%s\t%d\t%d\t%d\t%d\t%.0f\t%.1f\t%.1f\t\n", k.rank, t.sent, t.whole, t.refused, t.other,
+		fmt.Fprintf(table, "%s\t%d\t%d\t%d\t%d\t%d\t%.0f\t%.1f\t%.1f\t\n", k.rank, t.sent, t.whole, t.notRun, t.refusedDeep, t.other,
 			float64(t.whole)/length.Seconds(), t.quantile(0.5), t.quantile(0.99))
 	}
 	_ = table.Flush()
