--- a/lab/scenario/commands_test.go
+++ b/lab/scenario/commands_test.go
@@ -5,14 +5,10 @@
 	"io"
 	"net/http"
 	"regexp"
-	"slices"
-	"strconv"
 	"strings"
-	"sync"
 	"syscall"
 	"time"
 
-	"github.com/google/uuid"
 	"github.com/rogpeppe/go-internal/testscript"
 )
 
@@ -29,6 +25,8 @@
 	"instance": startInstance,
 	"call":     makeCall,
 	"flood":    flood,
+	"begin":    beginFlood,
+	"end":      endFlood,
 	"signal":   sendSignal,
 	"finished": waitFinished,
 	"expect":   expect,
@@ -123,53 +121,6 @@
 	}
 }
 
-func flood(ts *testscript.TestScript, _ bool, args []string) {
-	flags, headers := flagsOf(ts, args[3:])
-	length, err := time.ParseDuration(flags["for"])
-	ts.Check(err)
-	callers, err := strconv.Atoi(flags["callers"])
-	ts.Check(err)
-	w := worldOf(ts)
-	var mu sync.Mutex
-	counts := map[string]int{}
-	var group sync.WaitGroup
-	end := time.Now().Add(length)
-	for range callers {
-		request := newRequest(ts, args, flags, headers)
-		group.Go(func() {
-			for time.Now().Before(end) {
-				one := request.Clone(request.Context())
-				one.Header.Set("Idempotency-Key", uuid.Must(uuid.NewV7()).String())
-				result := sendOne(one)
-				w.note(one, result)
-				mu.Lock()
-				counts[result]++
-				mu.Unlock()
-			}
-		})
-	}
-	group.Wait()
-	lines := make([]string, 0, len(counts))
-	for result, n := range counts {
-		lines = append(lines, fmt.Sprintf("%s %d", result, n))
-	}
-	slices.Sort(lines)
-	fmt.Fprintln(ts.Stdout(), strings.Join(lines, "\n"))
-}
-
-// sendOne makes one call and returns its status and outcome.
-func sendOne(request *http.Request) string {
-	response, err := http.DefaultClient.Do(request)
-	if err != nil {
-		return "error"
-	}
-	defer response.Body.Close()
-	if _, err := io.Copy(io.Discard, response.Body); err != nil {
-		return "cut"
-	}
-	return fmt.Sprintf("%d %s", response.StatusCode, response.Header.Get("Fuchsiavane-Outcome"))
-}
-
 var signals = map[string]syscall.Signal{
 	"TERM": syscall.SIGTERM, "KILL": syscall.SIGKILL, "STOP": syscall.SIGSTOP, "CONT": syscall.SIGCONT,
 }
--- a/lab/scenario/world_test.go
+++ b/lab/scenario/world_test.go
@@ -33,6 +33,8 @@
 	processes map[string]*process
 	// sent are the requests of floods by idempotency key.
 	sent map[string]sentRequest
+	// load is the flood that has begun and not ended.
+	load *load
 }
 
 func newWorld(env *testscript.Env) *world {
