--- a/lab/bench/system.go
+++ b/lab/bench/system.go
@@ -5,7 +5,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -16,6 +15,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"fuchsiavane.org/node/freeport"
 )
 
 const (
@@ -66,7 +67,7 @@
 	if err := build.Run(); err != nil {
 		return errors.Wrap(err, "build")
 	}
-	addrs, err := freeAddrs(10)
+	addrs, err := freeport.Addrs(10)
 	if err != nil {
 		return err
 	}
@@ -190,17 +191,3 @@
 	}
 	return string(text), nil
 }
-
-// freeAddrs returns loopback addresses that were free a moment ago.
-func freeAddrs(n int) ([]string, error) {
-	addrs := make([]string, n)
-	for i := range addrs {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, errors.Wrap(err, "bench")
-		}
-		defer l.Close()
-		addrs[i] = l.Addr().String()
-	}
-	return addrs, nil
-}
--- a/lab/scenario/commands_test.go
+++ b/lab/scenario/commands_test.go
@@ -5,10 +5,7 @@
 	"io"
 	"net/http"
 	"regexp"
-	"slices"
-	"strconv"
 	"strings"
-	"sync"
 	"syscall"
 	"time"
 
@@ -28,14 +25,23 @@
 	"instance": startInstance,
 	"call":     makeCall,
 	"flood":    flood,
+	"begin":    beginFlood,
+	"end":      endFlood,
 	"signal":   sendSignal,
 	"finished": waitFinished,
 	"expect":   expect,
 	"log":      matchLog,
+	"audit":    audit,
+	"runs":     countRuns,
+	"exits":    exits,
+	"race":     race,
 }
 
 func startPlatform(ts *testscript.TestScript, _ bool, _ []string) {
-	addr := freeAddrs(ts, 1)[0]
+	addr := strings.TrimPrefix(ts.Getenv("platform"), "http://") // again, after it was killed
+	if addr == "" {
+		addr = freeAddrs(ts, 1)[0]
+	}
 	worldOf(ts).start(ts, "platform", "platform", "-listen", addr)
 	ts.Setenv("platform", "http://"+addr)
 	ts.Setenv("FUCHSIAVANE_PLATFORM", "http://"+addr)
@@ -115,49 +121,6 @@
 	}
 }
 
-func flood(ts *testscript.TestScript, _ bool, args []string) {
-	flags, headers := flagsOf(ts, args[3:])
-	length, err := time.ParseDuration(flags["for"])
-	ts.Check(err)
-	callers, err := strconv.Atoi(flags["callers"])
-	ts.Check(err)
-	var mu sync.Mutex
-	counts := map[string]int{}
-	var group sync.WaitGroup
-	end := time.Now().Add(length)
-	for range callers {
-		request := newRequest(ts, args, flags, headers)
-		group.Go(func() {
-			for time.Now().Before(end) {
-				result := sendOne(request.Clone(request.Context()))
-				mu.Lock()
-				counts[result]++
-				mu.Unlock()
-			}
-		})
-	}
-	group.Wait()
-	lines := make([]string, 0, len(counts))
-	for result, n := range counts {
-		lines = append(lines, fmt.Sprintf("%s %d", result, n))
-	}
-	slices.Sort(lines)
-	fmt.Fprintln(ts.Stdout(), strings.Join(lines, "\n"))
-}
-
-// sendOne makes one call and returns its status and outcome.
-func sendOne(request *http.Request) string {
-	response, err := http.DefaultClient.Do(request)
-	if err != nil {
-		return "error"
-	}
-	defer response.Body.Close()
-	if _, err := io.Copy(io.Discard, response.Body); err != nil {
-		return "cut"
-	}
-	return fmt.Sprintf("%d %s", response.StatusCode, response.Header.Get("Fuchsiavane-Outcome"))
-}
-
 var signals = map[string]syscall.Signal{
 	"TERM": syscall.SIGTERM, "KILL": syscall.SIGKILL, "STOP": syscall.SIGSTOP, "CONT": syscall.SIGCONT,
 }
--- a/lab/scenario/world_test.go
+++ b/lab/scenario/world_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"net"
 	"os/exec"
 	"path/filepath"
 	"strings"
@@ -11,6 +10,8 @@
 	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
+
+	"fuchsiavane.org/node/freeport"
 )
 
 // worldKey finds a script's world.
@@ -31,10 +32,14 @@
 type world struct {
 	mu        sync.Mutex
 	processes map[string]*process
+	// sent are the requests of floods by idempotency key.
+	sent map[string]sentRequest
+	// load is the flood that has begun and not ended.
+	load *load
 }
 
 func newWorld(env *testscript.Env) *world {
-	w := &world{processes: map[string]*process{}}
+	w := &world{processes: map[string]*process{}, sent: map[string]sentRequest{}}
 	env.Defer(w.stop)
 	return w
 }
@@ -81,15 +86,10 @@
 	}
 }
 
-// freeAddrs returns loopback addresses that were free a moment ago.
+// freeAddrs returns free loopback addresses.
 func freeAddrs(ts *testscript.TestScript, n int) []string {
-	addrs := make([]string, n)
-	for i := range addrs {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		ts.Check(err)
-		defer l.Close()
-		addrs[i] = l.Addr().String()
-	}
+	addrs, err := freeport.Addrs(n)
+	ts.Check(err)
 	return addrs
 }
 
--- a/node/daemon/daemontest/daemontest.go
+++ b/node/daemon/daemontest/daemontest.go
@@ -6,7 +6,6 @@
 	"context"
 	"encoding/json"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -19,6 +18,7 @@
 	"fuchsiavane.org/node/daemon"
 	"fuchsiavane.org/node/edit"
 	"fuchsiavane.org/node/event"
+	"fuchsiavane.org/node/freeport"
 	"fuchsiavane.org/node/platform"
 )
 
@@ -91,17 +91,12 @@
 	}
 }
 
-// FreeAddrs returns loopback addresses that were free a moment ago.
+// FreeAddrs returns free loopback addresses.
 func FreeAddrs(t testing.TB, n int) []string {
 	t.Helper()
-	addrs := make([]string, n)
-	for i := range addrs {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer l.Close()
-		addrs[i] = l.Addr().String()
+	addrs, err := freeport.Addrs(n)
+	if err != nil {
+		t.Fatal(err)
 	}
 	return addrs
 }
--- a/node/daemon/path_bench_test.go
+++ b/node/daemon/path_bench_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -12,6 +11,7 @@
 
 	"fuchsiavane.org/node/config"
 	"fuchsiavane.org/node/event"
+	"fuchsiavane.org/node/freeport"
 	"fuchsiavane.org/node/platform"
 	"fuchsiavane.org/node/platform/memstore"
 )
@@ -82,10 +82,9 @@
 
 func freeAddr(t testing.TB) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	addrs, err := freeport.Addrs(1)
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer l.Close()
-	return l.Addr().String()
+	return addrs[0]
 }
--- a/node/demo/demo.go
+++ b/node/demo/demo.go
@@ -19,6 +19,7 @@
 	"fuchsiavane.org/node/daemon"
 	"fuchsiavane.org/node/edit"
 	"fuchsiavane.org/node/event"
+	"fuchsiavane.org/node/freeport"
 	"fuchsiavane.org/node/platform/memstore"
 )
 
@@ -35,6 +36,19 @@
 	workTime = 20 * time.Millisecond
 )
 
+const (
+	introduction = `Two services of two upstreams each, every upstream with its daemon, in one process.
+Callers ask bench, which asks registry for each request; registry has 8 slots at
+each upstream and takes 20 ms. Ranks: ruling (protected), lookup, bulk.
+`
+	legend = `
+whole:        complete answers
+not run:      refused before any upstream was given a byte; safe to send again
+refused deep: ran at bench, refused at registry
+p50, p99:     time to a complete answer
+`
+)
+
 // system is what the demo has started.
 type system struct {
 	stop     context.CancelFunc
@@ -59,11 +73,12 @@
 	if err := s.ready(ctx); err != nil {
 		return err
 	}
-	fmt.Fprintln(out, "two services (bench, registry) of two upstreams each; bench calls registry")
+	fmt.Fprint(out, introduction)
 	calm := load(ctx, s.entries, calmTime, false)
 	flood := load(ctx, s.entries, floodTime, true)
 	report(out, "calm", calm, calmTime)
 	report(out, "flood of bulk", flood, floodTime)
+	fmt.Fprint(out, legend)
 	return ctx.Err()
 }
 
@@ -83,7 +98,7 @@
 
 // instance starts one upstream and its daemon.
 func (s *system) instance(ctx context.Context, store *memstore.Store, service string, i int) error {
-	addrs, err := freeAddrs(5)
+	addrs, err := freeport.Addrs(5)
 	if err != nil {
 		return err
 	}
@@ -118,20 +133,6 @@
 	return nil
 }
 
-// freeAddrs returns loopback addresses that were free a moment ago.
-func freeAddrs(n int) ([]string, error) {
-	addrs := make([]string, n)
-	for i := range addrs {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, errors.WithStack(err)
-		}
-		defer l.Close()
-		addrs[i] = l.Addr().String()
-	}
-	return addrs, nil
-}
-
 // registry is the deep upstream.
 func registry(w http.ResponseWriter, _ *http.Request) {
 	time.Sleep(workTime)
--- a/node/event/catalogue.go
+++ b/node/event/catalogue.go
@@ -1,6 +1,10 @@
 package event
 
-import plog "github.com/phuslu/log"
+import (
+	"slices"
+
+	plog "github.com/phuslu/log"
+)
 
 // Events of the daemon. Numbers are grouped by hundreds: 1 daemon life,
 // 2 settings, 3 links, 4 membership, 5 requests, 6 platform.
@@ -31,11 +35,13 @@
 
 // Catalogue lists every event by number.
 func Catalogue() []Event {
-	return []Event{
+	all := []Event{
 		DaemonStarted, DaemonLeaving, DaemonStopped, LinksOpen, PortFailed,
 		SettingsInForce, SettingsRefused, SettingsOlder,
 		LinkOpened, LinkClosed, LinkRefused, LinkMalformed, LinkNotOpened, LinkRecovered,
 		PeersChanged, BadCallerInput, PlatformAway, PlatformBack,
 		ClaimsNotRefreshed, ClaimsNotReleased, UpstreamCrashed, RequestQuarantined,
 	}
+	slices.SortFunc(all, func(a, b Event) int { return a.Number - b.Number })
+	return all
 }
