Stop the instances of a test as one fleet

Cause: a planned stop takes 1.5 s of notice, and the harness stopped one instance after another: go test ./daemon took 84 s. Change: the harness tells all instances of a test to stop, then waits.

--- a/node/daemon/daemontest/daemontest.go
+++ b/node/daemon/daemontest/daemontest.go
@@ -55,7 +55,6 @@
 func Start(t testing.TB, store platform.Store, o Options) *Instance {
 	t.Helper()
 	upstream := httptest.NewServer(o.Upstream)
-	t.Cleanup(upstream.Close)
 	i := &Instance{Config: configOf(t, o, upstream.URL), Upstream: upstream, t: t, done: make(chan error, 1)}
 	if o.Edit != nil {
 		o.Edit(&i.Config)
@@ -71,7 +70,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	i.stop = stop
 	go func() { i.done <- i.Daemon.Run(ctx) }()
-	t.Cleanup(func() { stop(); upstream.CloseClientConnections(); <-i.done })
+	join(t, i)
 	i.Await("its own status", func(s admin.Status) bool { return s.Instance == i.Config.InstanceID })
 	return i
 }
