--- a/node/call/call.go
+++ b/node/call/call.go
@@ -34,8 +34,10 @@
 
 // Limits on one request.
 const (
-	// MaxHeaderBytes bounds the header of a request.
+	// MaxHeaderBytes bounds the header of a request or of an answer.
 	MaxHeaderBytes = 64 << 10
+	// MaxHeaderFields bounds the number of fields in a header.
+	MaxHeaderFields = 512
 	// MaxRequestBody bounds the body of a request, which is held for retries.
 	MaxRequestBody = 4 << 20
 )
@@ -57,6 +59,7 @@
 	RefusedQuarantined Refusal = "quarantined"
 	RefusedBadRequest  Refusal = "bad-request"
 	RefusedTooLarge    Refusal = "too-large"
+	RefusedHeaderSize  Refusal = "header-too-large"
 	RefusedCancelled   Refusal = "cancelled"
 	// RefusedNotOwner is said of a non-idempotent request by an instance that
 	// does not own its key. The instance did not run it.
@@ -152,6 +155,8 @@
 		return http.StatusUnprocessableEntity
 	case RefusedBadRequest:
 		return http.StatusBadRequest
+	case RefusedHeaderSize:
+		return http.StatusRequestHeaderFieldsTooLarge
 	case RefusedTooLarge:
 		return http.StatusRequestEntityTooLarge
 	case RefusedUnreachable:
--- a/node/call/header.go
+++ b/node/call/header.go
@@ -46,3 +46,23 @@
 	}
 	return s
 }
+
+// HeaderBytes returns the size of a header's names and values.
+func HeaderBytes(h http.Header) int {
+	total := 0
+	for name, values := range h {
+		for _, value := range values {
+			total += len(name) + len(value)
+		}
+	}
+	return total
+}
+
+// HeaderFields returns the number of a header's fields.
+func HeaderFields(h http.Header) int {
+	total := 0
+	for _, values := range h {
+		total += len(values)
+	}
+	return total
+}
--- a/node/daemon/ports.go
+++ b/node/daemon/ports.go
@@ -19,6 +19,11 @@
 const (
 	// readHeaderTimeout bounds the time that a client takes to send a header.
 	readHeaderTimeout = 5 * time.Second
+	// readTimeout bounds the time that a client takes to send a request.
+	readTimeout = 30 * time.Second
+	// maxReadHeaderBytes is the size of a header that is still read, so that
+	// one beyond call.MaxHeaderBytes gets a problem body.
+	maxReadHeaderBytes = 4 * call.MaxHeaderBytes
 	// idleTimeout ends connections without a request.
 	idleTimeout = 2 * time.Minute
 )
@@ -69,8 +74,9 @@
 	return &port{name, listener, &http.Server{
 		Handler:           handler,
 		ReadHeaderTimeout: readHeaderTimeout,
+		ReadTimeout:       readTimeout,
 		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    call.MaxHeaderBytes,
+		MaxHeaderBytes:    maxReadHeaderBytes,
 		ErrorLog:          stdlog.New(io.Discard, "", 0),
 	}}, nil
 }
--- a/node/gateway/http.go
+++ b/node/gateway/http.go
@@ -75,7 +75,7 @@
 		header[name] = values
 	}
 	header.Set(call.HeaderOutcome, string(answer.Outcome))
-	if answer.Length >= 0 {
+	if answer.Length >= 0 && header.Get("Content-Length") == "" {
 		header.Set("Content-Length", strconv.FormatInt(answer.Length, 10))
 	}
 	w.WriteHeader(answer.Status)
@@ -168,6 +168,9 @@
 }
 
 func checkHead(r *http.Request, request *call.Request) error {
+	if err := checkSize(r); err != nil {
+		return err
+	}
 	if serviceOf(r) == "" {
 		return errors.New("no service: set the Host header or " + call.HeaderService)
 	}
@@ -245,6 +248,9 @@
 }
 
 func badRequest(err error) *call.Answer {
+	if errors.Is(err, errHeaderTooLarge) {
+		return call.Refuse(call.NotRun, call.RefusedHeaderSize, err.Error())
+	}
 	if errors.Is(err, errTooLarge) {
 		return call.Refuse(call.NotRun, call.RefusedTooLarge, err.Error())
 	}
--- a/node/problem/problem.go
+++ b/node/problem/problem.go
@@ -37,6 +37,7 @@
 	call.RefusedQuarantined: "The request has crashed upstreams",
 	call.RefusedBadRequest:  "The request is malformed",
 	call.RefusedTooLarge:    "The request is too large",
+	call.RefusedHeaderSize:  "The request's header is too large",
 	call.RefusedCancelled:   "The caller gave the request up",
 	call.RefusedNotOwner:    "No instance owns the key now",
 }
--- a/node/upstream/upstream.go
+++ b/node/upstream/upstream.go
@@ -47,6 +47,8 @@
 		MaxIdleConnsPerHost: 256,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
+		// An answer's header is carried whole or not at all.
+		MaxResponseHeaderBytes: call.MaxHeaderBytes,
 	}
 	return &Runner{base: base, transport: transport, gate: gate, table: table}
 }
@@ -173,16 +175,31 @@
 	header := response.Header
 	call.RemoveHopByHop(header)
 	overloaded := response.StatusCode == http.StatusServiceUnavailable
+	body := &endingBody{response.Body, func() { end(overloaded) }}
+	if call.HeaderFields(header) > call.MaxHeaderFields {
+		_ = body.Close()
+		return call.Refuse(call.Ran, call.RefusedUnreachable, "the upstream's answer has too many header fields")
+	}
 	return &call.Answer{
 		Status:  response.StatusCode,
 		Header:  header,
-		Length:  response.ContentLength,
-		Body:    &endingBody{response.Body, func() { end(overloaded) }},
+		Length:  bodyLength(response),
+		Body:    body,
 		Outcome: call.Ran,
 		Unspent: run.Budget.Drain(),
 	}
 }
 
+// bodyLength returns the bytes that the body holds, or -1 if that is not known.
+// An answer to HEAD and a 304 have the length of a body that is not sent.
+// Source: RFC 9110, section 8.6.
+func bodyLength(response *http.Response) int64 {
+	if response.Body == http.NoBody {
+		return 0
+	}
+	return response.ContentLength
+}
+
 // endingBody ends the run when the answer's body is closed.
 type endingBody struct {
 	io.ReadCloser
