--- a/lab/pages/pages_test.go
+++ b/lab/pages/pages_test.go
@@ -243,3 +243,18 @@
 		}
 	}
 }
+
+var directRequirement = regexp.MustCompile(`(?m)^(?:require |\t)([a-z][^ ]+) v[0-9][^ ]*$`)
+
+// Every library that a module requires directly is in DEPENDENCIES.md.
+func TestDependenciesPage(t *testing.T) {
+	page := read(t, "docs/DEPENDENCIES.md")
+	for _, module := range []string{"core", "node", "lab"} {
+		for _, m := range directRequirement.FindAllStringSubmatch(read(t, module+"/go.mod"), -1) {
+			library := m[1]
+			if !strings.HasPrefix(library, "fuchsiavane.org/") && !strings.Contains(page, "`"+library+"`") {
+				t.Errorf("%s uses %s, which docs/DEPENDENCIES.md doesn't name", module, library)
+			}
+		}
+	}
+}
--- a/node/cli/cli_test.go
+++ b/node/cli/cli_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"regexp"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -176,3 +179,40 @@
 	is.Equal(status, ExitFailed)
 	is.True(strings.Contains(stderr, "admin address of b is not known"))
 }
+
+func TestStatusOfALargeFleetIsCounted(t *testing.T) {
+	is := is.New(t)
+	var peers []admin.Peer
+	for i := range 9800 {
+		peers = append(peers, admin.Peer{ID: fmt.Sprintf("i-%d", i), Region: "south", DataCentre: fmt.Sprintf("south-%d", i%2), State: admin.StateServing, SettingsRevision: 7})
+	}
+	daemon := fakeAdmin(t, func() admin.Status { return admin.Status{Instance: "a", Peers: peers} })
+	status, out, _ := run(t, "", "status", "-daemon", daemon)
+	is.Equal(status, ExitOK)
+	is.Equal(strings.Count(out, "\n"), 4)
+	is.True(regexp.MustCompile(`south +south-1 +serving +7 +4900\n`).MatchString(out))
+	_, out, _ = run(t, "", "status", "-all", "-daemon", daemon)
+	is.Equal(strings.Count(out, "\n"), 9802)
+}
+
+// -watch goes on over failures until it is interrupted, which is no failure.
+func TestWatchGoesOnUntilInterrupted(t *testing.T) {
+	is := is.New(t)
+	ctx, interrupt := context.WithCancel(t.Context())
+	var asked atomic.Int32
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		switch asked.Add(1) {
+		case 1:
+			http.Error(w, "not now", http.StatusServiceUnavailable)
+		case 3:
+			interrupt()
+		}
+		_ = json.NewEncoder(w).Encode(admin.Status{Instance: "a"})
+	}))
+	defer server.Close()
+	var out, stderr bytes.Buffer
+	args := []string{"status", "-watch", "-interval", "1ms", "-daemon", server.URL}
+	is.Equal(Main(ctx, args, Streams{Out: &out, Err: &stderr}), ExitOK)
+	is.True(strings.Contains(stderr.String(), "status 503"))
+	is.True(strings.Contains(out.String(), "a: "))
+}
--- a/node/cli/help.go
+++ b/node/cli/help.go
@@ -107,6 +107,9 @@
 	}
 	helpStatus = helpText{
 		short: "Shows a daemon and the peers that it knows.",
+		more: `The column SETTINGS is the revision that a peer last said to have in force, - if it
+is not known. A large fleet is counted by data centre, state and settings; -all
+lists every peer.`,
 		examples: []string{
 			"fuchsiavane status -daemon http://10.0.1.7:7403",
 			"fuchsiavane status -watch",
--- a/node/cli/status.go
+++ b/node/cli/status.go
@@ -1,9 +1,12 @@
 package cli
 
 import (
+	"cmp"
 	"context"
 	"flag"
 	"fmt"
+	"maps"
+	"slices"
 	"strings"
 	"text/tabwriter"
 	"time"
@@ -14,14 +17,18 @@
 	"fuchsiavane.org/node/admin"
 )
 
+// maxListed is the most peers that are listed one by one unless -all is given.
+const maxListed = 60
+
 func (c *command) statusCommand() *ffcli.Command {
-	var watch bool
+	var watch, all bool
 	var interval time.Duration
 	return c.leaf(leaf{
-		name: "status", usage: "fuchsiavane status [-daemon URL] [-watch]", help: helpStatus,
+		name: "status", usage: "fuchsiavane status [-daemon URL] [-watch] [-all]", help: helpStatus,
 		define: func(fs *flag.FlagSet) {
 			c.daemonFlag(fs)
 			fs.BoolVar(&watch, "watch", false, "show again and again until interrupted")
+			fs.BoolVar(&all, "all", false, "list every peer, also in a large fleet")
 			fs.DurationVar(&interval, "interval", 2*time.Second, "`pause` between two looks of -watch")
 		},
 		exec: func(ctx context.Context, args []string) error {
@@ -29,16 +36,16 @@
 				return err
 			}
 			if watch {
-				return c.watchStatus(ctx, interval)
+				return c.watchStatus(ctx, interval, all)
 			}
-			return c.status(ctx)
+			return c.status(ctx, all)
 		},
 	})
 }
 
 // watchStatus shows the status until the context ends. A daemon that does not
 // answer is reported and asked again.
-func (c *command) watchStatus(ctx context.Context, interval time.Duration) error {
+func (c *command) watchStatus(ctx context.Context, interval time.Duration, all bool) error {
 	if interval <= 0 {
 		return usagef("-interval must be above 0")
 	}
@@ -46,7 +53,7 @@
 		if !c.json {
 			fmt.Fprintf(c.Out, "\n%s\n", time.Now().Format(time.TimeOnly))
 		}
-		if err := c.status(ctx); err != nil && ctx.Err() == nil {
+		if err := c.status(ctx, all); err != nil && ctx.Err() == nil {
 			fmt.Fprintln(c.Err, err)
 		}
 		select {
@@ -57,7 +64,7 @@
 	}
 }
 
-func (c *command) status(ctx context.Context) error {
+func (c *command) status(ctx context.Context, all bool) error {
 	s, err := c.statusOf(ctx, c.daemon)
 	if err != nil {
 		return err
@@ -67,14 +74,50 @@
 	}
 	fmt.Fprintf(c.Out, "%s %s: %s, settings revision %d, %d running, %d queued, %d peers\n",
 		s.Service, s.Instance, s.Life, s.SettingsRevision, s.Running, s.Queued, len(s.Peers))
+	if len(s.Peers) > maxListed && !all {
+		return c.printGroups(s.Peers)
+	}
+	return c.printPeers(s.Peers)
+}
+
+func (c *command) printPeers(peers []admin.Peer) error {
 	table := tabwriter.NewWriter(c.Out, 0, 8, 2, ' ', 0)
 	fmt.Fprintln(table, "INSTANCE\tSERVICE\tREGION\tDATA CENTRE\tSTATE\tSETTINGS")
-	for _, p := range s.Peers {
+	for _, p := range peers {
 		fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%s\t%s\n", p.ID, p.Service, p.Region, p.DataCentre, p.State, revisionText(p.SettingsRevision))
 	}
 	return table.Flush()
 }
 
+// group is what peers have in common in the summary of a large fleet.
+type group struct {
+	region, dataCentre, state string
+	revision                  uint64
+}
+
+func compareGroups(a, b group) int {
+	return cmp.Or(
+		strings.Compare(a.region, b.region),
+		strings.Compare(a.dataCentre, b.dataCentre),
+		strings.Compare(a.state, b.state),
+		cmp.Compare(a.revision, b.revision),
+	)
+}
+
+// printGroups counts peers by data centre, state and settings.
+func (c *command) printGroups(peers []admin.Peer) error {
+	counts := map[group]int{}
+	for _, p := range peers {
+		counts[group{p.Region, p.DataCentre, p.State, p.SettingsRevision}]++
+	}
+	table := tabwriter.NewWriter(c.Out, 0, 8, 2, ' ', 0)
+	fmt.Fprintln(table, "REGION\tDATA CENTRE\tSTATE\tSETTINGS\tINSTANCES")
+	for _, g := range slices.SortedFunc(maps.Keys(counts), compareGroups) {
+		fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%d\n", g.region, g.dataCentre, g.state, revisionText(g.revision), counts[g])
+	}
+	return table.Flush()
+}
+
 func revisionText(revision uint64) string {
 	if revision == 0 {
 		return "-"
