--- a/core/jsontree/jsontree.go
+++ b/core/jsontree/jsontree.go
@@ -15,42 +15,57 @@
 )
 
 // Kind is the JSON type of a Node.
-type Kind string
+type Kind uint8
 
 // The JSON types.
 const (
-	Object  Kind = "object"
-	Array   Kind = "array"
-	String  Kind = "string"
-	Number  Kind = "number"
-	Boolean Kind = "boolean"
-	Null    Kind = "null"
+	Null Kind = iota
+	Object
+	Array
+	String
+	Number
+	Boolean
 )
 
+var kindNames = [...]string{"null", "object", "array", "string", "number", "boolean"}
+
+// String returns the name of the type.
+func (k Kind) String() string { return kindNames[k] }
+
 // maxDepth bounds the nesting of a document.
 const maxDepth = 32
 
 // Node is a JSON value with its place in the document.
 type Node struct {
-	Kind Kind
-	// Pointer is the place as a JSON pointer (RFC 6901); empty is the root.
-	Pointer string
-	// Line is the line of the value, from 1.
-	Line int
+	// Key is the name of an object's member; names may repeat.
+	Key string
 	// Text is the value of a string, and a number as it was written.
 	Text string
 	// Number is the value of a number; infinite beyond the range of float64.
-	Number  float64
+	Number float64
+	// Children are the members of an object or the items of an array, in the
+	// order of the document.
+	Children []*Node
+	// Line is the line of the value, from 1.
+	Line    int32
+	Kind    Kind
 	Boolean bool
-	Members []Member
-	Items   []*Node
+
+	// index is the place among the parent's children.
+	index  int32
+	parent *Node
 }
 
-// Member is one entry of an object, in the order of the document. Names may
-// repeat.
-type Member struct {
-	Name  string
-	Value *Node
+// Pointer returns the place as a JSON pointer (RFC 6901); empty is the root.
+func (n *Node) Pointer() string {
+	if n.parent == nil {
+		return ""
+	}
+	token := EscapePointer(n.Key)
+	if n.parent.Kind == Array {
+		token = strconv.Itoa(int(n.index))
+	}
+	return n.parent.Pointer() + "/" + token
 }
 
 // SyntaxError says where a document is not JSON.
@@ -83,7 +98,8 @@
 	if n := validPrefix(data); n < len(data) {
 		return nil, &SyntaxError{1 + bytes.Count(data[:n], []byte{'\n'}), errors.New("a byte is not UTF-8")}
 	}
-	n, err := r.value("", 0)
+	n := &Node{}
+	err := r.value(n, 0)
 	if err == nil {
 		err = r.end()
 	}
@@ -136,18 +152,19 @@
 	return line + bytes.Count(rest[:len(rest)-len(next)], []byte{'\n'})
 }
 
-func (r *reader) value(pointer string, depth int) (*Node, error) {
+// value reads a value into n, of which only the place is known.
+func (r *reader) value(n *Node, depth int) error {
 	if depth > maxDepth {
-		return nil, errors.Errorf("nested deeper than %d levels", maxDepth)
+		return errors.Errorf("nested deeper than %d levels", maxDepth)
 	}
 	token, err := r.token()
 	if err != nil {
-		return nil, err
+		return err
 	}
-	n := &Node{Pointer: pointer, Line: r.currentLine()}
+	n.Line = int32(r.currentLine())
 	switch t := token.(type) {
 	case json.Delim:
-		return n, r.container(n, t, depth)
+		return r.container(n, t, depth)
 	case string:
 		n.Kind, n.Text = String, t
 	case json.Number:
@@ -155,10 +172,8 @@
 		n.Number, _ = t.Float64() // infinite when out of range
 	case bool:
 		n.Kind, n.Boolean = Boolean, t
-	case nil:
-		n.Kind = Null
 	}
-	return n, nil
+	return nil
 }
 
 // token reads a token that must be there.
@@ -185,22 +200,20 @@
 }
 
 func (r *reader) element(n *Node, depth int) error {
-	if n.Kind == Array {
-		item, err := r.value(n.Pointer+"/"+strconv.Itoa(len(n.Items)), depth+1)
-		n.Items = append(n.Items, item)
-		return err
-	}
-	token, err := r.token()
-	if err != nil {
-		return err
-	}
-	name, ok := token.(string)
-	if !ok {
-		return errors.New("an object's key is not a string")
+	child := &Node{parent: n, index: int32(len(n.Children))}
+	if n.Kind == Object {
+		token, err := r.token()
+		if err != nil {
+			return err
+		}
+		name, ok := token.(string)
+		if !ok {
+			return errors.New("an object's key is not a string")
+		}
+		child.Key = name
 	}
-	value, err := r.value(n.Pointer+"/"+EscapePointer(name), depth+1)
-	n.Members = append(n.Members, Member{name, value})
-	return err
+	n.Children = append(n.Children, child)
+	return r.value(child, depth+1)
 }
 
 var pointerEscapes = strings.NewReplacer("~", "~0", "/", "~1")
@@ -218,21 +231,9 @@
 func (n *Node) compact(b *strings.Builder) {
 	switch n.Kind {
 	case Object:
-		b.WriteByte('{')
-		for i, m := range n.Members {
-			separate(b, i)
-			b.WriteString(quote(m.Name))
-			b.WriteByte(':')
-			m.Value.compact(b)
-		}
-		b.WriteByte('}')
+		n.compactChildren(b, '{', '}')
 	case Array:
-		b.WriteByte('[')
-		for i, item := range n.Items {
-			separate(b, i)
-			item.compact(b)
-		}
-		b.WriteByte(']')
+		n.compactChildren(b, '[', ']')
 	case String:
 		b.WriteString(quote(n.Text))
 	case Number:
@@ -244,10 +245,18 @@
 	}
 }
 
-func separate(b *strings.Builder, i int) {
-	if i > 0 {
-		b.WriteByte(',')
+func (n *Node) compactChildren(b *strings.Builder, open, end byte) {
+	b.WriteByte(open)
+	for i, child := range n.Children {
+		if i > 0 {
+			b.WriteByte(',')
+		}
+		if n.Kind == Object {
+			b.WriteString(quote(child.Key) + ":")
+		}
+		child.compact(b)
 	}
+	b.WriteByte(end)
 }
 
 func quote(s string) string {
--- a/core/settings/check.go
+++ b/core/settings/check.go
@@ -38,23 +38,15 @@
 	return strings.Join(lines, "\n")
 }
 
-// place is where a value stands in a document.
-type place struct {
-	pointer string
-	line    int
-}
-
-func placeOf(n *jsontree.Node) place { return place{n.Pointer, n.Line} }
-
 // rankUse is a mention of a rank that must be defined.
 type rankUse struct {
-	at   place
+	at   *jsontree.Node
 	name string
 }
 
 // windowList is one value of "hours".
 type windowList struct {
-	places  []place
+	places  []*jsontree.Node
 	windows []Window
 }
 
@@ -66,15 +58,11 @@
 }
 
 func (c *checker) add(n *jsontree.Node, format string, args ...any) {
-	c.addAt(placeOf(n), format, args...)
-}
-
-func (c *checker) addAt(at place, format string, args ...any) {
-	c.findings = append(c.findings, Finding{at.pointer, at.line, fmt.Sprintf(format, args...)})
+	c.findings = append(c.findings, Finding{n.Pointer(), int(n.Line), fmt.Sprintf(format, args...)})
 }
 
 func (c *checker) useRank(n *jsontree.Node, name string) {
-	c.uses = append(c.uses, rankUse{placeOf(n), name})
+	c.uses = append(c.uses, rankUse{n, name})
 }
 
 func (c *checker) want(n *jsontree.Node, k jsontree.Kind) bool {
@@ -136,14 +124,19 @@
 	if !c.want(n, jsontree.Object) {
 		return
 	}
-	seen := make(map[string]bool, len(n.Members))
-	for _, m := range n.Members {
-		if seen[m.Name] {
-			c.add(m.Value, "key %q stands twice", m.Name)
+	var seen map[string]bool
+	if len(n.Children) > 1 {
+		seen = make(map[string]bool, len(n.Children))
+	}
+	for _, child := range n.Children {
+		if seen[child.Key] {
+			c.add(child, "key %q stands twice", child.Key)
 			continue
 		}
-		seen[m.Name] = true
-		read(m.Name, m.Value)
+		if seen != nil {
+			seen[child.Key] = true
+		}
+		read(child.Key, child)
 	}
 }
 
@@ -161,7 +154,7 @@
 			return
 		}
 		if change := keys[i].read(c, value); change != nil {
-			out = append(out, override{i, change, placeOf(value)})
+			out = append(out, override{i, change, value})
 		}
 	})
 	return out
--- a/core/settings/diff.go
+++ b/core/settings/diff.go
@@ -58,20 +58,20 @@
 	if err != nil {
 		return flat
 	}
-	flattenNode(flat, root, root.Pointer)
+	flattenNode(flat, root, root.Pointer())
 	return flat
 }
 
 func flattenNode(flat map[string]string, n *jsontree.Node, pointer string) {
 	switch {
 	case n.Kind == jsontree.Object:
-		for _, m := range n.Members {
-			flattenNode(flat, m.Value, pointer+"/"+jsontree.EscapePointer(m.Name))
+		for _, child := range n.Children {
+			flattenNode(flat, child, pointer+"/"+jsontree.EscapePointer(child.Key))
 		}
 	case pointer == "/ranks" && n.Kind == jsontree.Array:
 		flattenRanks(flat, n, pointer)
-	case n.Kind == jsontree.Array && len(n.Items) > 0:
-		for i, item := range n.Items {
+	case n.Kind == jsontree.Array && len(n.Children) > 0:
+		for i, item := range n.Children {
 			flattenNode(flat, item, pointer+"/"+strconv.Itoa(i))
 		}
 	default:
@@ -83,7 +83,7 @@
 // setting of its own.
 func flattenRanks(flat map[string]string, n *jsontree.Node, pointer string) {
 	var names []string
-	for _, item := range n.Items {
+	for _, item := range n.Children {
 		name := rankName(item)
 		names = append(names, name)
 		flattenNode(flat, item, pointer+"/"+jsontree.EscapePointer(name))
@@ -92,10 +92,10 @@
 }
 
 func rankName(n *jsontree.Node) string {
-	for _, m := range n.Members {
-		if m.Name == "name" {
-			return m.Value.Text
+	for _, child := range n.Children {
+		if child.Key == "name" {
+			return child.Text
 		}
 	}
-	return n.Pointer
+	return n.Pointer()
 }
--- a/core/settings/document.go
+++ b/core/settings/document.go
@@ -47,7 +47,7 @@
 }
 
 type rankOverrides struct {
-	at        place
+	at        *jsontree.Node // nil once the document is accepted
 	overrides []override
 }
 
@@ -69,9 +69,33 @@
 		slices.SortStableFunc(c.findings, compareFindings)
 		return nil, c.findings
 	}
+	d.forgetPlaces()
 	return d, nil
 }
 
+// forgetPlaces lets go of the JSON tree, which only findings need.
+func (d *Document) forgetPlaces() {
+	d.root.forgetPlaces()
+	for _, s := range d.services {
+		s.forgetPlaces()
+		for _, p := range s.paths {
+			p.forgetPlaces()
+			for name, of := range p.ranks {
+				forget(of.overrides)
+				p.ranks[name] = rankOverrides{overrides: of.overrides}
+			}
+		}
+	}
+}
+
+func (s *scope) forgetPlaces() { forget(s.overrides) }
+
+func forget(overrides []override) {
+	for i := range overrides {
+		overrides[i].at = nil
+	}
+}
+
 func compareFindings(a, b Finding) int {
 	return cmp.Or(a.Line-b.Line, strings.Compare(a.Pointer, b.Pointer), strings.Compare(a.Message, b.Message))
 }
@@ -134,7 +158,7 @@
 				c.useRank(value, rank)
 				c.object(value, map[string]func(*jsontree.Node){
 					"settings": func(s *jsontree.Node) {
-						p.ranks[rank] = rankOverrides{placeOf(value), c.overrides(s, LevelRank)}
+						p.ranks[rank] = rankOverrides{value, c.overrides(s, LevelRank)}
 					},
 				})
 			})
--- a/core/settings/keys.go
+++ b/core/settings/keys.go
@@ -42,7 +42,8 @@
 	// key is the index in keys.
 	key    int
 	change func(*Values)
-	at     place
+	// at is the place; nil once the document is accepted.
+	at *jsontree.Node
 }
 
 // levels lists the levels of a document from the top.
--- a/core/settings/ranks.go
+++ b/core/settings/ranks.go
@@ -18,13 +18,13 @@
 	if !c.want(n, jsontree.Array) {
 		return nil
 	}
-	if len(n.Items) > maxRanks {
-		c.add(n, "there are %d ranks, more than %d", len(n.Items), maxRanks)
+	if len(n.Children) > maxRanks {
+		c.add(n, "there are %d ranks, more than %d", len(n.Children), maxRanks)
 	}
 	var ranks []Rank
 	var sum float64
 	seen := map[string]bool{}
-	for _, item := range n.Items {
+	for _, item := range n.Children {
 		rank := c.rank(item)
 		if rank.Name != "" && seen[rank.Name] {
 			c.add(item, "rank %q stands twice", rank.Name)
@@ -65,10 +65,10 @@
 		return nil
 	}
 	var list windowList
-	for _, item := range n.Items {
+	for _, item := range n.Children {
 		if w, ok := c.window(item); ok {
 			list.windows = append(list.windows, w)
-			list.places = append(list.places, placeOf(item))
+			list.places = append(list.places, item)
 		}
 	}
 	c.hours = append(c.hours, list)
@@ -147,15 +147,15 @@
 	for _, list := range c.hours {
 		for i, w := range list.windows {
 			if sum := w.sum(ranks); sum > 1+shareTolerance {
-				c.addAt(list.places[i], "the shares add up to %.3g in this window, more than 1", sum)
+				c.add(list.places[i], "the shares add up to %.3g in this window, more than 1", sum)
 			}
 			for j, earlier := range list.windows[:i] {
 				if earlier.Zone.String() != w.Zone.String() {
-					c.addAt(list.places[i], "the window is in zone %s, the one at line %d in %s; one list has one zone", w.Zone, list.places[j].line, earlier.Zone)
+					c.add(list.places[i], "the window is in zone %s, the one at line %d in %s; one list has one zone", w.Zone, list.places[j].Line, earlier.Zone)
 					continue
 				}
 				if w.overlaps(earlier) {
-					c.addAt(list.places[i], "the window overlaps the one at line %d", list.places[j].line)
+					c.add(list.places[i], "the window overlaps the one at line %d", list.places[j].Line)
 				}
 			}
 		}
@@ -196,7 +196,7 @@
 func (c *checker) checkRankUses(d *Document) {
 	for _, use := range c.uses {
 		if d.RankIndex(use.name) < 0 {
-			c.addAt(use.at, "rank %q is not in \"ranks\"", use.name)
+			c.add(use.at, "rank %q is not in \"ranks\"", use.name)
 		}
 	}
 }
--- a/core/settings/resolve.go
+++ b/core/settings/resolve.go
@@ -38,7 +38,7 @@
 	}
 	for _, o := range s.overrides {
 		if o.key == keyQueue || o.key == keyTimeout {
-			c.addAt(o.at, "queue_ms %d is longer than timeout_ms %d", s.values.Queue.Milliseconds(), s.values.Timeout.Milliseconds())
+			c.add(o.at, "queue_ms %d is longer than timeout_ms %d", s.values.Queue.Milliseconds(), s.values.Timeout.Milliseconds())
 			return
 		}
 	}
@@ -52,7 +52,7 @@
 			continue // reported as an unknown rank
 		}
 		if i < p.rank {
-			c.addAt(of.at, "rank %q is more urgent than the call path's %q, and a caller may only lower the rank: it never holds", name, p.values.Rank)
+			c.add(of.at, "rank %q is more urgent than the call path's %q, and a caller may only lower the rank: it never holds", name, p.values.Rank)
 		}
 		s := scope{overrides: of.overrides}
 		c.derive(d, &s, p.scope)
--- a/node/config/reader.go
+++ b/node/config/reader.go
@@ -132,17 +132,17 @@
 		return nil
 	}
 	seen := map[string]bool{}
-	for _, m := range root.Members {
-		place := fmt.Sprintf("%s line %d, %q", fileName, m.Value.Line, m.Name)
-		value, ok := r.member(place, m, seen[m.Name])
-		seen[m.Name] = true
+	for _, m := range root.Children {
+		place := fmt.Sprintf("%s line %d, %q", fileName, m.Line, m.Key)
+		value, ok := r.member(place, m, seen[m.Key])
+		seen[m.Key] = true
 		if !ok {
 			continue
 		}
-		if _, overridden := r.from[m.Name]; !overridden {
-			r.from[m.Name] = place
+		if _, overridden := r.from[m.Key]; !overridden {
+			r.from[m.Key] = place
 		}
-		if err := set(m.Name, value); err != nil {
+		if err := set(m.Key, value); err != nil {
 			r.add(place, "%v", err)
 		}
 	}
@@ -150,16 +150,16 @@
 }
 
 // member checks one entry of the file and returns its value.
-func (r *reader) member(place string, m jsontree.Member, seen bool) (string, bool) {
+func (r *reader) member(place string, m *jsontree.Node, seen bool) (string, bool) {
 	switch {
-	case r.flags.Lookup(m.Name) == nil || m.Name == "config":
+	case r.flags.Lookup(m.Key) == nil || m.Key == "config":
 		r.add(place, "there is no such setting")
 	case seen:
 		r.add(place, "the key stands twice")
-	case m.Value.Kind != jsontree.String:
-		r.add(place, "is %s, must be string", m.Value.Kind)
+	case m.Kind != jsontree.String:
+		r.add(place, "is %s, must be string", m.Kind)
 	default:
-		return m.Value.Text, true
+		return m.Text, true
 	}
 	return "", false
 }
