Give each test process blocks of ports of its own

Cause: scenarios failed again with a stand-in that was not reachable. Two test processes whose ids lie some hundreds apart searched the same ports at the same time, and a port that is free when looked for is taken when opened. Change: a process holds the first port of each block of a hundred that it takes, so that no other takes it; a program that ends while a scenario waits for its start is reported at once with its output. Not shown: the failed programs' outputs, which were not kept.

--- a/lab/scenario/commands_test.go
+++ b/lab/scenario/commands_test.go
@@ -42,10 +42,10 @@
 	if addr == "" {
 		addr = freeAddrs(ts, 1)[0]
 	}
-	worldOf(ts).start(ts, "platform", "platform", "-listen", addr)
+	p := worldOf(ts).start(ts, "platform", "platform", "-listen", addr)
 	ts.Setenv("platform", "http://"+addr)
 	ts.Setenv("FUCHSIAVANE_PLATFORM", "http://"+addr)
-	await(ts, startTimeout, "http://"+addr+"/v1/stats", regexp.MustCompile("reads"))
+	awaitStart(ts, p, "http://"+addr+"/v1/stats", regexp.MustCompile("reads"))
 }
 
 func setFault(ts *testscript.TestScript, _ bool, args []string) {
@@ -71,9 +71,9 @@
 	}
 	addrs := freeAddrs(ts, 5)
 	w := worldOf(ts)
-	w.start(ts, name+".upstream", "upstream", "-listen", addrs[4], "-local", "http://"+addrs[1],
+	upstream := w.start(ts, name+".upstream", "upstream", "-listen", addrs[4], "-local", "http://"+addrs[1],
 		"-work", option("work", "0s"), "-next", option("next", ""))
-	w.start(ts, name, "fuchsiavaned", append([]string{
+	daemon := w.start(ts, name, "fuchsiavaned", append([]string{
 		"-instance-id", name, "-service", service,
 		"-region", option("region", "south"), "-data-centre", option("dc", "south-1"),
 		"-caller-listen", addrs[0], "-local-listen", addrs[1], "-peer-listen", addrs[2], "-admin-listen", addrs[3],
@@ -83,8 +83,25 @@
 		ts.Setenv(name+"_"+port, "http://"+addrs[i])
 	}
 	ts.Setenv(name+"_peer", addrs[2])
-	await(ts, startTimeout, "http://"+addrs[3]+"/readyz", regexp.MustCompile("^ready"))
-	await(ts, startTimeout, "http://"+addrs[4]+"/runs", regexp.MustCompile(`^(null|\[)`))
+	awaitStart(ts, daemon, "http://"+addrs[3]+"/readyz", regexp.MustCompile("^ready"))
+	awaitStart(ts, upstream, "http://"+addrs[4]+"/runs", regexp.MustCompile(`^(null|\[)`))
+}
+
+// awaitStart polls a URL of a process until its body matches. A process that
+// ends before is reported with its output.
+func awaitStart(ts *testscript.TestScript, p *process, url string, pattern *regexp.Regexp) {
+	var body string
+	for end := time.Now().Add(startTimeout); time.Now().Before(end); time.Sleep(pollInterval) {
+		select {
+		case <-p.done:
+			ts.Fatalf("%s ended: %v\n%s", p.cmd.Path, p.err, p.output)
+		default:
+		}
+		if body = get(url); pattern.MatchString(body) {
+			return
+		}
+	}
+	ts.Fatalf("%s: %s did not match %v within %v: %s\n%s", p.cmd.Path, url, pattern, startTimeout, body, p.output)
 }
 
 // newRequest makes a request of the arguments after NAME SERVICE PATH.
--- a/node/freeport/freeport.go
+++ b/node/freeport/freeport.go
@@ -1,49 +1,77 @@
 // Package freeport finds free loopback ports for the demo and for tests that
 // start processes.
 //
-// The ports lie below the range from which the kernel takes the ports of
-// outgoing connections, so that a port stays free between the search and its
-// use by another process.
+// A process takes blocks of ports. It holds the first port of a block open for
+// as long as it lives, so that no other process that uses this package takes
+// the same block. The blocks lie below the range from which the kernel takes the
+// ports of outgoing connections. Together a port stays free between the search
+// and its use.
 package freeport
 
 import (
 	"net"
 	"os"
 	"strconv"
-	"sync/atomic"
+	"sync"
 
 	"github.com/pkg/errors"
 )
 
 const (
-	firstPort = 10000
-	portCount = 20000
-	// stride spreads the starting points of processes with neighbouring ids.
-	stride = 997
+	firstPort  = 10000
+	blockPorts = 100
+	blocks     = 200
 )
 
-// next counts the ports tried by this process. Processes start at different
-// places, so that they seldom try the same port at the same time.
-var next atomic.Uint32
+// pool is the ports that this process has taken.
+var pool struct {
+	mu sync.Mutex
+	// held keeps the first port of each block open.
+	held []net.Listener
+	// next and end bound the ports of the newest block that are left.
+	next, end int
+}
 
 // Addrs returns n different addresses of 127.0.0.1 whose TCP and UDP ports are
-// free.
+// free. No address is returned twice to one process.
 func Addrs(n int) ([]string, error) {
-	start := os.Getpid() * stride
+	pool.mu.Lock()
+	defer pool.mu.Unlock()
 	addrs := make([]string, 0, n)
-	for range portCount {
-		if len(addrs) == n {
-			return addrs, nil
+	for len(addrs) < n {
+		if pool.next == pool.end {
+			if err := takeBlock(); err != nil {
+				return nil, err
+			}
 		}
-		port := firstPort + (start+int(next.Add(1)))%portCount
-		addr := net.JoinHostPort("127.0.0.1", strconv.Itoa(port))
+		addr := address(pool.next)
+		pool.next++
 		if free(addr) {
 			addrs = append(addrs, addr)
 		}
 	}
-	return nil, errors.Errorf("fewer than %d free ports from %d on", n, firstPort)
+	return addrs, nil
+}
+
+// takeBlock takes a block that no other process holds. The caller holds the
+// lock.
+func takeBlock() error {
+	start := os.Getpid()
+	for i := range blocks {
+		first := firstPort + (start+i)%blocks*blockPorts
+		guard, err := net.Listen("tcp", address(first))
+		if err != nil {
+			continue
+		}
+		pool.held = append(pool.held, guard)
+		pool.next, pool.end = first+1, first+blockPorts
+		return nil
+	}
+	return errors.Errorf("no block of free ports from %d on", firstPort)
 }
 
+func address(port int) string { return net.JoinHostPort("127.0.0.1", strconv.Itoa(port)) }
+
 func free(addr string) bool {
 	listener, err := net.Listen("tcp", addr)
 	if err != nil {
--- a/node/freeport/freeport_test.go
+++ b/node/freeport/freeport_test.go
@@ -16,7 +16,7 @@
 	listener, err := net.Listen("tcp", taken[0])
 	is.NoErr(err)
 	defer listener.Close()
-	addrs, err := freeport.Addrs(50)
+	addrs, err := freeport.Addrs(150)
 	is.NoErr(err)
 	seen := map[string]bool{taken[0]: true}
 	for _, addr := range addrs {
