Adaptive limit, rank floors, and levels from the whole subtree

Cause: the upstream's slots were a fixed number, ranks were strict order with no floors, a queue was FIFO without callers, cancelling was O(n), and an overload deep in a chain was known nowhere else.

Change: core/limit finds the limit from latency against a base and from the upstream's own refusals, and takes back steps that did not help. core/admission gives each rank its floor share over time, the rest by urgency with protected ranks first, fair queues by caller, newest first while overloaded, and refuses what can't finish. core/level turns refusals into levels, which answers carry from the whole subtree; the entry refuses by them before anything has run. The gate and the gateway use all three.

Figures (go test -v -run 'Flood|Lent' ./core/admission): in a flood of 10 times the capacity of the most urgent rank, the others keep at least their floors; in one of the least urgent, the protected rank keeps its goodput within 1%.

--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -1,12 +1,19 @@
 // Package admission decides which requests may run at one upstream instance.
 //
-// A Controller holds a bounded number of slots and a short, bounded queue for
-// each rank. It is a pure state machine: time comes in as an argument, and
-// grants come out as values. A Controller is not safe for concurrent use; the
-// caller holds a lock around each call.
+// A Controller joins three decisions: an adaptive limit bounds the requests that
+// run (package limit); ranks share the slots by floor shares and urgency, with a
+// short queue for each rank; and levels refuse at once, by a hash of the request
+// id, what would be refused anyway (package level). It is a pure state machine:
+// time comes in as an argument, and grants come out as values. A Controller is
+// not safe for concurrent use; the caller holds a lock around each call.
 package admission
 
-import "time"
+import (
+	"time"
+
+	"fuchsiavane.org/core/level"
+	"fuchsiavane.org/core/limit"
+)
 
 // Verdict is the decision on an offered request.
 type Verdict int
@@ -15,7 +22,7 @@
 const (
 	// Admitted requests run at once.
 	Admitted Verdict = iota
-	// Queued requests wait for a grant, which Finish or Expire returns.
+	// Queued requests wait for a grant, which a later call returns.
 	Queued
 	// Refused requests don't run.
 	Refused
@@ -31,7 +38,6 @@
 	ReasonDeadline Reason = "deadline"
 	ReasonWait     Reason = "queue-time"
 	ReasonShed     Reason = "shed"
-	ReasonDraining Reason = "draining"
 )
 
 // Rank is the policy of one rank of work.
@@ -44,10 +50,13 @@
 
 // Config is the policy of a Controller.
 type Config struct {
-	// Slots bounds concurrent requests.
-	Slots int
-	// Queue bounds the wait for a slot.
+	// Slots and Connections bound the requests that run at a time. 0
+	// connections is no bound.
+	Slots, Connections int
+	// Queue bounds the wait for a slot. 0 is no queue.
 	Queue time.Duration
+	// SlowStart is the time over which a new upstream's limit rises to Slots.
+	SlowStart time.Duration
 	// Ranks, most urgent first.
 	Ranks []Rank
 }
@@ -56,7 +65,7 @@
 type Request struct {
 	// ID names the root request.
 	ID string
-	// Rank is the index in Config.Ranks.
+	// Rank is the index in Config.Ranks, or -1 if it is not known.
 	Rank int
 	// Caller is the root caller's name.
 	Caller string
@@ -64,7 +73,7 @@
 	Deadline time.Time
 }
 
-// Ticket names an offered request until Finish or Cancel.
+// Ticket names an offered request until Finish, Cancel or a grant that refuses.
 type Ticket uint64
 
 // Grant tells a queued request its fate.
@@ -74,89 +83,156 @@
 	Reason Reason
 }
 
+// Decision is the answer to an offer.
+type Decision struct {
+	// Ticket is valid unless the verdict is Refused.
+	Ticket  Ticket
+	Verdict Verdict
+	Reason  Reason
+	// Grants settles queued requests that gave way.
+	Grants []Grant
+}
+
 // Sample is what a finished run tells about the upstream.
 type Sample struct {
-	// Latency is the time that the upstream took.
+	// Latency is the time that the upstream took to answer.
 	Latency time.Duration
 	// Overloaded is set when the upstream refused or timed out.
 	Overloaded bool
+	// Abandoned runs were given up and tell nothing about the upstream.
+	Abandoned bool
 }
 
-type waiting struct {
-	ticket  Ticket
-	request Request
-	expires time.Time
+// run is a request at the upstream.
+type run struct {
+	rank int
 }
 
 // Controller admits requests. See the package comment for concurrency.
 type Controller struct {
 	config  Config
 	last    Ticket
-	running map[Ticket]Request
-	queues  [][]waiting
+	limiter *limit.Limiter
+	meter   *level.Meter
+	running map[Ticket]run
+	waiting map[Ticket]*waiting
+	expiry  expiryHeap
+	ranks   []*rank
+	order   []int // rank indices, shed last first
+	usage   usage
+	stepped time.Time
 }
 
-// New returns a Controller.
-func New(config Config) *Controller {
-	c := &Controller{running: map[Ticket]Request{}}
-	c.Configure(config)
+// New returns a Controller for an upstream that starts now.
+func New(now time.Time, config Config) *Controller {
+	c := &Controller{
+		running: map[Ticket]run{},
+		waiting: map[Ticket]*waiting{},
+		stepped: now,
+	}
+	c.Configure(now, config)
 	return c
 }
 
-// Configure replaces the policy. Queued requests of ranks that no longer exist
-// move to the least urgent rank.
-func (c *Controller) Configure(config Config) {
+// Configure replaces the policy and returns the grants that follow from it.
+// Requests of ranks that no longer exist move to the least urgent rank.
+func (c *Controller) Configure(now time.Time, config Config) []Grant {
 	if len(config.Ranks) == 0 {
 		config.Ranks = []Rank{{}}
 	}
-	queues := make([][]waiting, len(config.Ranks))
-	for i, q := range c.queues {
-		to := min(i, len(queues)-1)
-		queues[to] = append(queues[to], q...)
+	c.config = config
+	c.resize(now)
+	c.order = shedOrder(config.Ranks)
+	bounds := limit.Config{Most: config.Slots, SlowStart: config.SlowStart, Ranks: len(config.Ranks)}
+	if config.Connections > 0 {
+		bounds.Most = min(config.Slots, config.Connections)
+	}
+	if c.limiter == nil {
+		c.limiter = limit.New(now, bounds)
+		c.meter = level.NewMeter(len(config.Ranks))
+		return nil
 	}
-	c.config, c.queues = config, queues
+	c.limiter.Configure(now, bounds)
+	c.meter.Resize(len(config.Ranks))
+	return c.fill(now)
 }
 
-// Offer asks for a slot. The ticket is valid unless the verdict is Refused.
-func (c *Controller) Offer(now time.Time, r Request) (Ticket, Verdict, Reason) {
-	r.Rank = min(max(r.Rank, 0), len(c.queues)-1)
-	if !r.Deadline.After(now) {
-		return 0, Refused, ReasonDeadline
+// Offer asks for a slot.
+func (c *Controller) Offer(now time.Time, r Request) Decision {
+	c.advance(now)
+	r.Rank = c.known(r.Rank)
+	k := c.ranks[r.Rank]
+	k.offered++
+	if c.late(now, r) {
+		return Decision{Verdict: Refused, Reason: ReasonDeadline}
 	}
-	if len(c.running) < c.config.Slots {
-		c.last++
-		c.running[c.last] = r
-		return c.last, Admitted, ReasonNone
+	if c.meter.Refuses(r.Rank, r.ID) {
+		return Decision{Verdict: Refused, Reason: ReasonShed}
+	}
+	c.meter.Passed(r.Rank)
+	w, grants := c.enqueue(now, r)
+	if w == nil {
+		c.meter.Shed(r.Rank)
+		return Decision{Verdict: Refused, Reason: ReasonFull, Grants: grants}
+	}
+	grants = append(grants, c.fill(now)...)
+	return c.decide(w, grants)
+}
+
+// decide takes the offered request's own grant out of the others.
+func (c *Controller) decide(w *waiting, grants []Grant) Decision {
+	for i, g := range grants {
+		if g.Ticket != w.ticket {
+			continue
+		}
+		rest := append(grants[:i:i], grants[i+1:]...)
+		if g.Reason != ReasonNone {
+			return Decision{Verdict: Refused, Reason: g.Reason, Grants: rest}
+		}
+		return Decision{Ticket: w.ticket, Verdict: Admitted, Grants: rest}
 	}
-	if len(c.queues[r.Rank]) >= c.config.Slots {
-		return 0, Refused, ReasonFull
+	if c.config.Queue > 0 {
+		return Decision{Ticket: w.ticket, Verdict: Queued, Grants: grants}
 	}
-	c.last++
-	c.queues[r.Rank] = append(c.queues[r.Rank], waiting{c.last, r, now.Add(c.config.Queue)})
-	return c.last, Queued, ReasonNone
+	c.remove(w)
+	c.meter.Shed(w.request.Rank)
+	return Decision{Verdict: Refused, Reason: ReasonFull, Grants: grants}
 }
 
 // Finish ends a run and returns the fate of queued requests that it settles.
-func (c *Controller) Finish(now time.Time, t Ticket, _ Sample) []Grant {
+func (c *Controller) Finish(now time.Time, t Ticket, s Sample) []Grant {
+	finished, ok := c.running[t]
+	if !ok {
+		return nil
+	}
+	c.advance(now)
+	if !s.Abandoned {
+		c.limiter.Record(now, limit.Sample{
+			Rank: finished.rank, Latency: s.Latency, Running: len(c.running), Overloaded: s.Overloaded,
+		})
+	}
+	if !s.Abandoned && !s.Overloaded {
+		c.ranks[finished.rank].service.observe(now, s.Latency)
+	}
 	delete(c.running, t)
+	c.ranks[finished.rank].running--
 	return c.fill(now)
 }
 
 // Cancel withdraws a queued request and reports whether it was still queued.
 func (c *Controller) Cancel(t Ticket) bool {
-	for i, q := range c.queues {
-		for j, w := range q {
-			if w.ticket == t {
-				c.queues[i] = append(q[:j:j], q[j+1:]...)
-				return true
-			}
-		}
+	w := c.waiting[t]
+	if w == nil {
+		return false
 	}
-	return false
+	c.remove(w)
+	return true
 }
 
-// Expire refuses queued requests whose time is over.
+// Expire refuses queued requests whose time is over and adjusts the levels. It
+// is to be called every few milliseconds.
 func (c *Controller) Expire(now time.Time) []Grant {
+	c.advance(now)
 	return c.fill(now)
 }
 
@@ -164,31 +240,30 @@
 func (c *Controller) InFlight() int { return len(c.running) }
 
 // Queued returns the number of waiting requests.
-func (c *Controller) Queued() int {
-	total := 0
-	for _, q := range c.queues {
-		total += len(q)
-	}
-	return total
-}
-
-func (c *Controller) fill(now time.Time) []Grant {
-	var grants []Grant
-	for i := range c.queues {
-		for len(c.queues[i]) > 0 {
-			w := c.queues[i][0]
-			late := !w.expires.After(now) || !w.request.Deadline.After(now)
-			if !late && len(c.running) >= c.config.Slots {
-				break
-			}
-			c.queues[i] = c.queues[i][1:]
-			if late {
-				grants = append(grants, Grant{w.ticket, ReasonWait})
-				continue
-			}
-			c.running[w.ticket] = w.request
-			grants = append(grants, Grant{w.ticket, ReasonNone})
-		}
+func (c *Controller) Queued() int { return len(c.waiting) }
+
+// Limit returns the number of requests that may run at a time.
+func (c *Controller) Limit(now time.Time) int { return c.limiter.Limit(now) }
+
+// Level returns the level that answers of a rank carry.
+func (c *Controller) Level(rank int) level.Level { return c.meter.Level(c.known(rank)) }
+
+// RetryAfter returns the wait after which a refused request is of use. It grows
+// with the part of the rank's requests that are refused.
+func (c *Controller) RetryAfter(rank int, id string) time.Duration {
+	k := c.ranks[c.known(rank)]
+	return level.RetryAfter(level.Of((k.granted+1)/(k.offered+1)), id)
+}
+
+// known returns the index of a rank; an unknown rank counts as the least urgent.
+func (c *Controller) known(rank int) int {
+	if rank < 0 || rank >= len(c.ranks) {
+		return len(c.ranks) - 1
 	}
-	return grants
+	return rank
+}
+
+// late reports whether a request can't finish by its deadline.
+func (c *Controller) late(now time.Time, r Request) bool {
+	return now.Add(c.ranks[r.Rank].service.estimate(now)).After(r.Deadline) || !r.Deadline.After(now)
 }
--- /dev/null
+++ b/core/admission/admission_test.go
@@ -0,0 +1,300 @@
+package admission
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+var start = time.Date(2026, 1, 5, 8, 0, 0, 0, time.UTC)
+
+var threeRanks = []Rank{{Share: 0.2, Protected: true}, {Share: 0.4}, {Share: 0.1}}
+
+func request(id int, rank int, now time.Time) Request {
+	return Request{ID: fmt.Sprint(id), Rank: rank, Caller: fmt.Sprint("caller-", id%7), Deadline: now.Add(time.Second)}
+}
+
+func TestQueueIsBoundedInTime(t *testing.T) {
+	is := is.New(t)
+	c := New(start, Config{Slots: 1, Queue: 50 * time.Millisecond})
+	first := c.Offer(start, request(1, 0, start))
+	is.Equal(first.Verdict, Admitted)
+	second := c.Offer(start, request(2, 0, start))
+	is.Equal(second.Verdict, Queued)
+	is.Equal(len(c.Expire(start.Add(50*time.Millisecond))), 0)
+	is.Equal(c.Expire(start.Add(51*time.Millisecond)), []Grant{{second.Ticket, ReasonWait}})
+}
+
+func TestNoQueueRefusesAtOnce(t *testing.T) {
+	is := is.New(t)
+	c := New(start, Config{Slots: 1})
+	is.Equal(c.Offer(start, request(1, 0, start)).Verdict, Admitted)
+	is.Equal(c.Offer(start, request(2, 0, start)).Reason, ReasonFull)
+	is.Equal(c.Queued(), 0)
+}
+
+func TestRequestThatCannotFinishIsRefusedAtOnce(t *testing.T) {
+	is := is.New(t)
+	c := New(start, Config{Slots: 4, Queue: time.Second})
+	now := start
+	for i := range 20 {
+		d := c.Offer(now, request(i, 0, now))
+		now = now.Add(100 * time.Millisecond)
+		c.Finish(now, d.Ticket, Sample{Latency: 100 * time.Millisecond})
+	}
+	doomed := request(100, 0, now)
+	doomed.Deadline = now.Add(20 * time.Millisecond)
+	is.Equal(c.Offer(now, doomed).Reason, ReasonDeadline)
+	is.Equal(c.Offer(now, request(101, 0, now)).Verdict, Admitted)
+	// The estimate fades, so that requests refused by it are tried again.
+	later := now.Add(10 * time.Second)
+	doomed.Deadline = later.Add(20 * time.Millisecond)
+	is.Equal(c.Offer(later, doomed).Verdict, Admitted)
+}
+
+func TestCallersOfARankShareFairly(t *testing.T) {
+	is := is.New(t)
+	c := New(start, Config{Slots: 1, Queue: time.Second})
+	held := c.Offer(start, request(0, 0, start)).Ticket
+	owner := map[Ticket]string{}
+	offer := func(id int, caller string) {
+		r := request(id, 0, start)
+		r.Caller = caller
+		if d := c.Offer(start, r); d.Verdict == Queued {
+			owner[d.Ticket] = caller
+		}
+	}
+	for i := range 50 {
+		offer(i+1, "greedy")
+	}
+	offer(100, "modest")
+	got := map[string]int{}
+	for range 2 {
+		grants := c.Finish(start, held, Sample{Abandoned: true})
+		held = grants[len(grants)-1].Ticket
+		got[owner[held]]++
+	}
+	is.Equal(got["modest"], 1) // not behind the 50 of the other caller
+}
+
+func TestNewestFirstWhileOverloaded(t *testing.T) {
+	is := is.New(t)
+	c := New(start, Config{Slots: 1, Queue: 50 * time.Millisecond})
+	held := c.Offer(start, request(0, 0, start)).Ticket
+	offer := func(at time.Time, id int) Ticket {
+		r := request(id, 0, at)
+		r.Caller = "one"
+		return c.Offer(at, r).Ticket
+	}
+	offer(start, 1)
+	offer(start.Add(40*time.Millisecond), 2)
+	newest := offer(start.Add(55*time.Millisecond), 3)
+	grants := c.Finish(start.Add(60*time.Millisecond), held, Sample{Abandoned: true})
+	is.Equal(grants[len(grants)-1], Grant{newest, ReasonNone})
+}
+
+func TestConfigureMovesRequestsOfRemovedRanks(t *testing.T) {
+	is := is.New(t)
+	c := New(start, Config{Slots: 1, Queue: time.Second, Ranks: threeRanks})
+	held := c.Offer(start, request(0, 2, start)).Ticket
+	waiting := c.Offer(start, request(1, 2, start)).Ticket
+	c.Configure(start, Config{Slots: 1, Queue: time.Second, Ranks: threeRanks[:1]})
+	is.Equal(c.Queued(), 1)
+	is.Equal(c.Finish(start, held, Sample{}), []Grant{{waiting, ReasonNone}})
+}
+
+// load offers requests of each rank at its rate, in parts of the capacity: for a
+// while the calm ones, then for a time the others. It returns the runs completed
+// in that time by rank as parts of the capacity.
+func load(slots int, calm, rates []float64, length time.Duration) []float64 {
+	const work, tick = 100 * time.Millisecond, time.Millisecond
+	c := New(start, Config{Slots: slots, Queue: 50 * time.Millisecond, Ranks: threeRanks})
+	begin := start.Add(5 * time.Second)
+	random := make([]*rand.Rand, len(rates))
+	for i := range random {
+		random[i] = rand.New(rand.NewPCG(1, uint64(i)))
+	}
+	capacity := float64(slots) / work.Seconds()
+	type ending struct {
+		ticket Ticket
+		rank   int
+		at     time.Time
+	}
+	var running []ending
+	ranks := map[Ticket]int{}
+	done := make([]float64, len(rates))
+	id := 0
+	settle := func(now time.Time, grants []Grant) {
+		for _, g := range grants {
+			if g.Reason == ReasonNone {
+				running = append(running, ending{g.Ticket, ranks[g.Ticket], now.Add(work)})
+			}
+			delete(ranks, g.Ticket)
+		}
+	}
+	for now := start; now.Before(begin.Add(length)); now = now.Add(tick) {
+		kept := running[:0:0]
+		ended := running
+		running = nil
+		for _, r := range ended {
+			if r.at.After(now) {
+				kept = append(kept, r)
+				continue
+			}
+			if now.After(begin) {
+				done[r.rank]++
+			}
+			settle(now, c.Finish(now, r.ticket, Sample{Latency: work}))
+		}
+		running = append(kept, running...)
+		settle(now, c.Expire(now))
+		for rank, rate := range calm {
+			if now.After(begin) {
+				rate = rates[rank]
+			}
+			for arrivals := rate * capacity * tick.Seconds(); random[rank].Float64() < arrivals; arrivals-- {
+				id++
+				d := c.Offer(now, request(id, rank, now))
+				settle(now, d.Grants)
+				switch d.Verdict {
+				case Admitted:
+					running = append(running, ending{d.Ticket, rank, now.Add(work)})
+				case Queued:
+					ranks[d.Ticket] = rank
+				case Refused:
+				}
+			}
+		}
+	}
+	for i := range done {
+		done[i] /= capacity * length.Seconds()
+	}
+	return done
+}
+
+func TestFloorSharesInAFloodOfTheMostUrgentRank(t *testing.T) {
+	is := is.New(t)
+	got := load(20, []float64{0.1, 0.4, 0.1}, []float64{10, 0.6, 0.3}, 20*time.Second)
+	t.Log(got)
+	is.True(got[1] >= 0.4)
+	is.True(got[2] >= 0.1)
+}
+
+func TestProtectedRankInAFloodOfTheLeastUrgentRank(t *testing.T) {
+	is := is.New(t)
+	calm := []float64{0.15, 0.2, 0.1}
+	alone := load(20, calm, calm, 20*time.Second)
+	got := load(20, calm, []float64{0.15, 0.2, 10}, 20*time.Second)
+	t.Log(alone, got)
+	is.True(got[0] >= 0.99*alone[0])
+	is.True(got[0]+got[1]+got[2] >= 0.9) // unused shares are lent
+}
+
+func TestUnusedSharesAreLent(t *testing.T) {
+	is := is.New(t)
+	got := load(20, []float64{0, 0, 0.5}, []float64{0, 0, 3}, 10*time.Second)
+	t.Log(got)
+	is.True(got[2] >= 0.9)
+}
+
+// TestEveryTicketIsSettledOnce holds the Controller to its contract under any
+// order of calls: never more than the limit runs, each ticket gets one fate.
+func TestEveryTicketIsSettledOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		slots := rapid.IntRange(1, 6).Draw(t, "slots")
+		queue := time.Duration(rapid.IntRange(0, 30).Draw(t, "queue")) * time.Millisecond
+		config := Config{Slots: slots, Queue: queue, Ranks: threeRanks}
+		c := New(start, config)
+		now := start
+		var runs, queued []Ticket
+		settled := map[Ticket]bool{}
+		take := func(list *[]Ticket, ticket Ticket) bool {
+			for i, x := range *list {
+				if x == ticket {
+					*list = append((*list)[:i:i], (*list)[i+1:]...)
+					return true
+				}
+			}
+			return false
+		}
+		grant := func(grants []Grant) {
+			for _, g := range grants {
+				if settled[g.Ticket] || !take(&queued, g.Ticket) {
+					t.Fatalf("ticket %d settled twice or never queued", g.Ticket)
+				}
+				settled[g.Ticket] = true
+				if g.Reason == ReasonNone {
+					runs = append(runs, g.Ticket)
+				}
+			}
+		}
+		id := 0
+		t.Repeat(map[string]func(*rapid.T){
+			"offer": func(t *rapid.T) {
+				id++
+				r := request(id, rapid.IntRange(-1, 4).Draw(t, "rank"), now)
+				r.Deadline = now.Add(time.Duration(rapid.IntRange(-5, 100).Draw(t, "left")) * time.Millisecond)
+				d := c.Offer(now, r)
+				grant(d.Grants)
+				switch d.Verdict {
+				case Admitted:
+					settled[d.Ticket] = true
+					runs = append(runs, d.Ticket)
+				case Queued:
+					queued = append(queued, d.Ticket)
+				case Refused:
+				}
+			},
+			"finish": func(t *rapid.T) {
+				if len(runs) == 0 {
+					t.Skip()
+				}
+				ticket := rapid.SampledFrom(runs).Draw(t, "run")
+				take(&runs, ticket)
+				grant(c.Finish(now, ticket, Sample{Latency: 10 * time.Millisecond, Overloaded: rapid.Bool().Draw(t, "overloaded")}))
+			},
+			"cancel": func(t *rapid.T) {
+				if len(queued) == 0 {
+					t.Skip()
+				}
+				ticket := rapid.SampledFrom(queued).Draw(t, "queued")
+				if !c.Cancel(ticket) || c.Cancel(ticket) {
+					t.Fatal("a queued ticket is cancelled once")
+				}
+				take(&queued, ticket)
+			},
+			"wait": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(1, 40).Draw(t, "ms")) * time.Millisecond)
+				grant(c.Expire(now))
+			},
+			"configure": func(t *rapid.T) {
+				config.Ranks = threeRanks[:rapid.IntRange(0, 3).Draw(t, "ranks")]
+				grant(c.Configure(now, config))
+			},
+			"": func(t *rapid.T) {
+				if c.InFlight() != len(runs) || c.Queued() != len(queued) {
+					t.Fatalf("running %d, want %d; queued %d, want %d", c.InFlight(), len(runs), c.Queued(), len(queued))
+				}
+				if c.InFlight() > slots {
+					t.Fatalf("%d run, more than %d", c.InFlight(), slots)
+				}
+			},
+		})
+		// Nothing waits for ever.
+		for range slots + 1 {
+			now = now.Add(200 * time.Millisecond)
+			grant(c.Expire(now))
+			for _, ticket := range runs {
+				grant(c.Finish(now, ticket, Sample{Abandoned: true}))
+			}
+			runs = nil
+		}
+		if len(queued) != 0 {
+			t.Fatalf("%d requests wait for ever", len(queued))
+		}
+	})
+}
--- /dev/null
+++ b/core/level/level_test.go
@@ -0,0 +1,84 @@
+package level
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+var start = time.Date(2026, 1, 5, 8, 0, 0, 0, time.UTC)
+
+func TestWorseLevelRefusesWhatABetterOneRefuses(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a, b := rapid.Uint32().Draw(t, "a"), rapid.Uint32().Draw(t, "b")
+		id := rapid.String().Draw(t, "id")
+		if Refuses(min(a, b), id) && !Refuses(max(a, b), id) {
+			t.Fatal("a worse level lets through what a better one refuses")
+		}
+	})
+}
+
+func TestLevelPassesItsPart(t *testing.T) {
+	is := is.New(t)
+	const requests = 20000
+	for _, pass := range []float64{0, 0.1, 0.5, 1} {
+		passed := 0
+		for i := range requests {
+			if !Refuses(Of(pass), fmt.Sprintf("00000000-0000-7000-8000-%012d", i)) {
+				passed++
+			}
+		}
+		is.True(math.Abs(float64(passed)/requests-pass) < 0.02)
+	}
+}
+
+func TestMeterFollowsOverloadAndItsEnd(t *testing.T) {
+	is := is.New(t)
+	m := NewMeter(1)
+	now := start
+	step := func(offered, capacity int) {
+		now = now.Add(Interval)
+		passed := int(float64(offered) * Pass(m.Level(0)))
+		for range passed {
+			m.Passed(0)
+		}
+		for range passed - capacity {
+			m.Shed(0)
+		}
+		m.Step(now, min(float64(passed)/float64(capacity), 1), func(int) float64 { return 0 })
+	}
+	for range 30 {
+		step(1000, 100)
+	}
+	is.True(Pass(m.Level(0)) > 0.08 && Pass(m.Level(0)) < 0.12)
+	for range 20 {
+		step(90, 100)
+	}
+	is.Equal(m.Level(0), Level(0))
+}
+
+func TestViewFadesWithoutNews(t *testing.T) {
+	is := is.New(t)
+	v := NewView()
+	key := Key{"registry", "GET /", "bulk"}
+	v.Learn(start, key, Of(0))
+	is.True(v.Level(start, key) > Of(0.1))
+	is.True(v.Level(start.Add(freshTime), key) > Of(0.1))
+	is.Equal(v.Level(start.Add(freshTime+11*doubling), key), Level(0))
+	is.Equal(v.Level(start, Key{"registry", "POST /", "bulk"}), Level(0)) // other paths are apart
+}
+
+func TestViewIsBounded(t *testing.T) {
+	is := is.New(t)
+	v := NewView()
+	for i := range 2 * maxEntries {
+		v.Learn(start, Key{fmt.Sprint(i), "", ""}, Of(0.5))
+	}
+	is.Equal(v.Len(), maxEntries)
+	v.Learn(start.Add(time.Minute), Key{"new", "", ""}, Of(0.5))
+	is.Equal(v.Len(), 1) // entries that faded make room
+}
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -53,6 +53,7 @@
 	owners  *owners
 	ratios  *retry.Ratios
 	resends *retry.Resends
+	levels  *levels
 }
 
 // New returns a Gateway.
@@ -62,6 +63,7 @@
 		owners:  newOwners(config.Place, config.Picker),
 		ratios:  retry.NewRatios(),
 		resends: retry.NewResends(),
+		levels:  newLevels(),
 	}
 }
 
--- a/node/gateway/http.go
+++ b/node/gateway/http.go
@@ -17,6 +17,7 @@
 	"fuchsiavane.org/node/call"
 	"fuchsiavane.org/node/event"
 	"fuchsiavane.org/node/problem"
+	"fuchsiavane.org/node/runs"
 )
 
 // maxKeyBytes bounds an idempotency key.
@@ -31,6 +32,8 @@
 	request *call.Request
 	values  settings.Values
 	budget  *retry.Budget
+	// parent is the run that makes the call, nil at an entry.
+	parent  *runs.Run
 	madeKey bool
 }
 
@@ -53,7 +56,7 @@
 		problem.Write(w, refusal)
 		return
 	}
-	answer := g.Call(p.ctx, p.request, &p.values, p.budget)
+	answer := g.callAdmitted(p)
 	defer answer.Body.Close()
 	if p.madeKey {
 		w.Header().Set(call.HeaderKey, p.request.Key)
@@ -119,6 +122,7 @@
 	p.ctx = r.Context()
 	p.budget = retry.NewBudget(0)
 	if run := g.Runs.Find(parent.Run); run != nil {
+		p.parent = run
 		p.budget = run.Budget
 		ctx, cancel := context.WithCancel(r.Context())
 		context.AfterFunc(run.Context, cancel)
--- /dev/null
+++ b/node/gateway/levels.go
@@ -0,0 +1,73 @@
+package gateway
+
+import (
+	"strings"
+	"sync"
+	"time"
+
+	"fuchsiavane.org/core/level"
+	"fuchsiavane.org/node/call"
+)
+
+// levels holds the admission levels that answers brought, for the refusal of
+// requests where they enter. It is safe for concurrent use.
+type levels struct {
+	mu   sync.Mutex
+	view *level.View
+}
+
+func newLevels() *levels { return &levels{view: level.NewView()} }
+
+// callAdmitted makes the call of a prepared request, unless the level of its
+// subtree refuses it. A request with a parent run is not refused here: its own
+// entry has let it in, and the work done for it would be lost.
+func (g *Gateway) callAdmitted(p *prepared) *call.Answer {
+	if p.parent == nil {
+		if refusal := g.levels.refusal(time.Now(), p.request); refusal != nil {
+			return refusal
+		}
+	}
+	answer := g.Call(p.ctx, p.request, &p.values, p.budget)
+	g.levels.learn(time.Now(), p.request, answer)
+	if p.parent != nil {
+		p.parent.Child(answer.Level, answer.Refusal != call.RefusedNone)
+	}
+	return answer
+}
+
+// refusal returns the answer to a request that the level of its subtree refuses,
+// or nil.
+func (l *levels) refusal(now time.Time, r *call.Request) *call.Answer {
+	l.mu.Lock()
+	inForce := l.view.Level(now, keyOf(r))
+	l.mu.Unlock()
+	if !level.Refuses(inForce, r.ID) {
+		return nil
+	}
+	a := call.Refuse(call.NotRun, call.RefusedOverload, "a service on the call path of "+r.Service+" is overloaded")
+	a.RetryAfter = level.RetryAfter(inForce, r.ID)
+	a.Level = inForce
+	return a
+}
+
+// learn takes the level of an answer in. An answer that never reached a daemon
+// at an upstream carries none.
+func (l *levels) learn(now time.Time, r *call.Request, a *call.Answer) {
+	if !carriesLevel(a) {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.view.Learn(now, keyOf(r), a.Level)
+}
+
+func carriesLevel(a *call.Answer) bool {
+	return a.Outcome == call.Ran || a.Level > 0
+}
+
+// keyOf returns the subtree of a request: its service, and its method with the
+// first segment of its path.
+func keyOf(r *call.Request) level.Key {
+	segment, _, _ := strings.Cut(strings.TrimPrefix(r.Path, "/"), "/")
+	return level.Key{Service: r.Service, Path: r.Method + " /" + segment, Rank: r.Rank}
+}
--- a/node/runs/runs.go
+++ b/node/runs/runs.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"fuchsiavane.org/core/retry"
@@ -20,8 +21,32 @@
 	Budget        *retry.Budget
 	// Context ends when the run is cancelled or over.
 	Context context.Context
+
+	level   atomic.Uint32
+	refused atomic.Bool
+}
+
+// Child takes in what the answer to a call of the run tells: its level, and
+// whether the system refused the call. It is safe for concurrent use.
+func (r *Run) Child(level uint32, refused bool) {
+	for {
+		worst := r.level.Load()
+		if level <= worst || r.level.CompareAndSwap(worst, level) {
+			break
+		}
+	}
+	if refused {
+		r.refused.Store(true)
+	}
 }
 
+// Level returns the worst admission level of the run's calls.
+func (r *Run) Level() uint32 { return r.level.Load() }
+
+// Refused reports whether the system refused a call of the run, so that a
+// failure of the run is not the upstream's own.
+func (r *Run) Refused() bool { return r.refused.Load() }
+
 // Table holds the runs of one daemon. It is safe for concurrent use.
 type Table struct {
 	mu   sync.RWMutex
--- a/node/upstream/gate.go
+++ b/node/upstream/gate.go
@@ -6,12 +6,14 @@
 	"time"
 
 	"fuchsiavane.org/core/admission"
+	"fuchsiavane.org/core/level"
 	"fuchsiavane.org/node/call"
 	"fuchsiavane.org/node/settingsync"
 )
 
-// overloadRetryAfter is the wait that refused callers are told.
-const overloadRetryAfter = time.Second
+// sharesInterval is the time after which shares are read again, for the windows
+// of the setting hours, whose times are whole minutes.
+const sharesInterval = 10 * time.Second
 
 // Gate holds the admission controller of the upstream and lets requests wait
 // for its grants. It is safe for concurrent use.
@@ -22,13 +24,15 @@
 	mu         sync.Mutex
 	controller *admission.Controller
 	revision   uint64
+	configured time.Time
 	waiting    map[admission.Ticket]chan admission.Reason
 }
 
 // NewGate returns a Gate for the upstream of a service.
 func NewGate(service string, holder *settingsync.Holder) *Gate {
+	now := time.Now()
 	g := &Gate{service: service, settings: holder, waiting: map[admission.Ticket]chan admission.Reason{}}
-	g.controller = admission.New(g.config())
+	g.controller = admission.New(now, g.config(now))
 	return g
 }
 
@@ -37,35 +41,55 @@
 	gate    *Gate
 	ticket  admission.Ticket
 	entered time.Time
+	// answered is the time that the upstream took to begin its answer, 0 before.
+	answered time.Duration
 }
 
+// End says how a run ended, as far as the upstream is concerned.
+type End int
+
+// Ends of runs.
+const (
+	// EndAnswered runs got an answer.
+	EndAnswered End = iota
+	// EndOverloaded runs were refused by the upstream or timed out there.
+	EndOverloaded
+	// EndAbandoned runs were given up, or failed by what they called.
+	EndAbandoned
+)
+
 // Enter waits for a slot. Either the pass or the refusal is nil.
 func (g *Gate) Enter(ctx context.Context, r *call.Request) (*Pass, *call.Answer) {
 	now := time.Now()
+	rank := g.settings.Current().Document.RankIndex(r.Rank)
 	g.mu.Lock()
-	g.reconfigure()
-	ticket, verdict, reason := g.controller.Offer(now, admission.Request{
-		ID: r.ID, Rank: g.settings.Current().Document.RankIndex(r.Rank), Caller: r.Caller, Deadline: r.Deadline,
-	})
+	g.reconfigure(now)
+	d := g.controller.Offer(now, admission.Request{ID: r.ID, Rank: rank, Caller: r.Caller, Deadline: r.Deadline})
+	g.deliver(d.Grants)
 	var granted chan admission.Reason
-	if verdict == admission.Queued {
+	if d.Verdict == admission.Queued {
 		granted = make(chan admission.Reason, 1)
-		g.waiting[ticket] = granted
+		g.waiting[d.Ticket] = granted
 	}
 	g.mu.Unlock()
-	switch verdict {
-	case admission.Admitted:
-		return &Pass{g, ticket, now}, nil
-	case admission.Refused:
-		return nil, refuse(reason)
+	reason := d.Reason
+	if granted != nil {
+		reason = g.wait(ctx, d.Ticket, granted)
+	}
+	if reason != admission.ReasonNone {
+		return nil, g.refuse(rank, r.ID, reason)
 	}
-	return g.wait(ctx, ticket, granted)
+	return &Pass{gate: g, ticket: d.Ticket, entered: time.Now()}, nil
 }
 
-func (g *Gate) wait(ctx context.Context, ticket admission.Ticket, granted chan admission.Reason) (*Pass, *call.Answer) {
+// reasonCancelled says that the caller gave up while it waited.
+const reasonCancelled admission.Reason = "cancelled"
+
+// wait returns the fate of a queued request.
+func (g *Gate) wait(ctx context.Context, ticket admission.Ticket, granted chan admission.Reason) admission.Reason {
 	select {
 	case reason := <-granted:
-		return g.settled(ticket, reason)
+		return reason
 	case <-ctx.Done():
 	}
 	g.mu.Lock()
@@ -73,41 +97,63 @@
 	delete(g.waiting, ticket)
 	g.mu.Unlock()
 	if queued {
-		return nil, call.Refuse(call.NotRun, call.RefusedCancelled, "given up while waiting for a slot")
+		return reasonCancelled
 	}
-	return g.settled(ticket, <-granted)
+	return <-granted
 }
 
-func (g *Gate) settled(ticket admission.Ticket, reason admission.Reason) (*Pass, *call.Answer) {
-	if reason != admission.ReasonNone {
-		return nil, refuse(reason)
+func (g *Gate) refuse(rank int, id string, reason admission.Reason) *call.Answer {
+	g.mu.Lock()
+	retryAfter := g.controller.RetryAfter(rank, id)
+	worst := g.controller.Level(rank)
+	g.mu.Unlock()
+	var a *call.Answer
+	switch reason {
+	case reasonCancelled:
+		a = call.Refuse(call.NotRun, call.RefusedCancelled, "given up while waiting for a slot")
+	case admission.ReasonDeadline:
+		a = call.Refuse(call.NotRun, call.RefusedDeadline, "the deadline can't be met")
+	default:
+		a = call.Refuse(call.NotRun, call.RefusedOverload, "no slot: "+string(reason))
+		a.RetryAfter = retryAfter
 	}
-	return &Pass{g, ticket, time.Now()}, nil
+	a.Level = worst
+	return a
 }
 
-func refuse(reason admission.Reason) *call.Answer {
-	if reason == admission.ReasonDeadline {
-		return call.Refuse(call.NotRun, call.RefusedDeadline, "the deadline can't be met")
-	}
-	a := call.Refuse(call.NotRun, call.RefusedOverload, "no slot: "+string(reason))
-	a.RetryAfter = overloadRetryAfter
-	return a
+// Level returns the admission level of a rank at this upstream.
+func (g *Gate) Level(rank string) level.Level {
+	index := g.settings.Current().Document.RankIndex(rank)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.controller.Level(index)
 }
 
+// Answered notes that the upstream has begun its answer: the time that a caller
+// takes to read it tells nothing about the upstream.
+func (p *Pass) Answered() { p.answered = time.Since(p.entered) }
+
 // Leave gives the slot back.
-func (p *Pass) Leave(overloaded bool) {
+func (p *Pass) Leave(end End) {
 	now := time.Now()
+	latency := p.answered
+	if latency == 0 {
+		latency = now.Sub(p.entered)
+	}
 	g := p.gate
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.deliver(g.controller.Finish(now, p.ticket, admission.Sample{Latency: now.Sub(p.entered), Overloaded: overloaded}))
+	g.deliver(g.controller.Finish(now, p.ticket, admission.Sample{
+		Latency: latency, Overloaded: end == EndOverloaded, Abandoned: end == EndAbandoned,
+	}))
 }
 
-// Tick settles queued requests whose time is over. A duty calls it.
+// Tick settles queued requests whose time is over and adjusts the levels. A duty
+// calls it every few milliseconds.
 func (g *Gate) Tick(now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.reconfigure()
+	g.reconfigure(now)
 	g.deliver(g.controller.Expire(now))
 }
 
@@ -118,6 +164,13 @@
 	return g.controller.InFlight(), g.controller.Queued()
 }
 
+// Limit returns the number of requests that may run at a time.
+func (g *Gate) Limit() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.controller.Limit(time.Now())
+}
+
 // deliver hands grants to those who wait. The caller holds the lock.
 func (g *Gate) deliver(grants []admission.Grant) {
 	for _, grant := range grants {
@@ -128,21 +181,23 @@
 	}
 }
 
-// reconfigure takes a new revision of the settings. The caller holds the lock.
-func (g *Gate) reconfigure() {
-	if g.settings.Current().Revision == g.revision {
+// reconfigure takes a new revision of the settings, and shares that change with
+// the time of day. The caller holds the lock.
+func (g *Gate) reconfigure(now time.Time) {
+	if g.settings.Current().Revision == g.revision && now.Sub(g.configured) < sharesInterval {
 		return
 	}
-	g.controller.Configure(g.config())
+	g.deliver(g.controller.Configure(now, g.config(now)))
 }
 
-func (g *Gate) config() admission.Config {
+func (g *Gate) config(now time.Time) admission.Config {
 	inForce := g.settings.Current()
 	g.revision = inForce.Revision
+	g.configured = now
 	document := inForce.Document
 	v := document.ServiceValues(g.service)
-	shares := document.SharesAt(g.service, time.Now())
-	config := admission.Config{Slots: v.Slots, Queue: v.Queue}
+	shares := document.SharesAt(g.service, now)
+	config := admission.Config{Slots: v.Slots, Connections: v.Connections, Queue: v.Queue, SlowStart: v.SlowStart}
 	for i, rank := range document.Ranks() {
 		config.Ranks = append(config.Ranks, admission.Rank{Share: shares[i], Protected: rank.Protected})
 	}
--- a/node/upstream/upstream.go
+++ b/node/upstream/upstream.go
@@ -83,20 +83,25 @@
 	}
 	u.table.Begin(run)
 	var once atomic.Bool
-	end := func(overloaded bool) {
+	end := func(as End) {
 		if once.Swap(true) {
 			return
 		}
 		cancel()
 		u.table.End(run.ID)
-		pass.Leave(overloaded)
+		pass.Leave(as)
 	}
 	response, sent, err := u.forward(ctx, r)
 	if err != nil {
-		end(errors.Is(err, context.DeadlineExceeded))
-		return u.failure(r, run, sent, err)
+		end(endOfError(run, err))
+		a := u.failure(r, run, sent, err)
+		a.Level = u.gate.worst(run)
+		return a
 	}
-	return u.answer(run, response, end)
+	pass.Answered()
+	a := u.answer(run, response, end)
+	a.Level = u.gate.worst(run)
+	return a
 }
 
 // until returns a context that ends at the deadline. It sets no second timer if
@@ -169,15 +174,15 @@
 	return a
 }
 
-func (u *Runner) answer(run *runs.Run, response *http.Response, end func(bool)) *call.Answer {
+func (u *Runner) answer(run *runs.Run, response *http.Response, end func(End)) *call.Answer {
 	header := response.Header
 	call.RemoveHopByHop(header)
-	overloaded := response.StatusCode == http.StatusServiceUnavailable
+	as := endOfStatus(run, response.StatusCode)
 	return &call.Answer{
 		Status:  response.StatusCode,
 		Header:  header,
 		Length:  response.ContentLength,
-		Body:    &endingBody{response.Body, func() { end(overloaded) }},
+		Body:    &endingBody{response.Body, func() { end(as) }},
 		Outcome: call.Ran,
 		Unspent: run.Budget.Drain(),
 	}
