Measure the policy under load side by side with no control and a static limit

Change: lab/experiment runs the decisions of core between small stand-ins, in virtual time and from a seed, for eight scenarios and three controls. A level is now what the slots take of the estimated demand, never below what the floor serves, with more spare the fewer slots a floor has; a rank's deficit is made up later, and what it borrowed is forgotten; the limit steps back at once when a raised ceiling is refused.

--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -118,7 +118,8 @@
 	waiting map[Ticket]*waiting
 	expiry  expiryHeap
 	ranks   []*rank
-	order   []int // rank indices, shed last first
+	order   []int       // rank indices, shed last first
+	service serviceTime // of all ranks
 	usage   usage
 	stepped time.Time
 }
@@ -213,6 +214,7 @@
 	}
 	if !s.Abandoned && !s.Overloaded {
 		c.ranks[finished.rank].service.observe(now, s.Latency)
+		c.service.observe(now, s.Latency)
 	}
 	delete(c.running, t)
 	c.ranks[finished.rank].running--
--- a/core/admission/share.go
+++ b/core/admission/share.go
@@ -15,8 +15,16 @@
 	countHalving = time.Second
 	// leastDemand is the demand in slots below which a rank counts as idle.
 	leastDemand = 0.05
-	// leastCredit is the least time by which a rank's deficit is bounded.
-	leastCredit = 100 * time.Millisecond
+	// creditTime is the time for which a rank's floor is made up later.
+	creditTime = time.Second
+	// floorMargin is what a floor is made larger by in the account, so that chance
+	// in the length of runs doesn't bring a rank below it.
+	floorMargin = 1.05
+	// idleHalving is the time in which a deficit halves while a rank has no demand.
+	idleHalving = 200 * time.Millisecond
+	// spareFactor is the load, in square roots of the slots of a floor, that is let
+	// through beyond it.
+	spareFactor = 1.2
 )
 
 // usage sums the part of the slots in use since the last step of the levels.
@@ -104,14 +112,18 @@
 
 func (c *Controller) account(now time.Time, i int, floor float64, elapsed time.Duration) {
 	k := c.ranks[i]
-	credit := max(floor, 1) * max(2*k.service.estimate(now), leastCredit).Seconds()
-	k.deficit += (floor - float64(k.running)) * elapsed.Seconds()
-	k.deficit = min(max(k.deficit, -credit), credit)
+	// What was borrowed is forgotten, but for the run that a part of a slot pays.
+	debt := 2 * k.service.estimate(now).Seconds()
+	k.deficit += (floorMargin*floor - float64(k.running)) * elapsed.Seconds()
+	k.deficit = min(max(k.deficit, -debt), credit(floor))
 	if k.queued == 0 && !c.meter.Refusing(i) {
-		k.deficit = min(k.deficit, 0) // without demand nothing is owed
+		k.deficit *= math.Exp2(-float64(elapsed) / float64(idleHalving))
 	}
 }
 
+// credit bounds the deficit of a rank with a floor in slots, in slot-seconds.
+func credit(floor float64) float64 { return max(floor, 1) * creditTime.Seconds() }
+
 // step adjusts the levels.
 func (c *Controller) step(now time.Time) {
 	used := 0.0
@@ -120,9 +132,22 @@
 	}
 	c.usage.used, c.usage.slots = 0, 0
 	slots := float64(c.limiter.Limit(now))
-	c.meter.Step(now, used, func(i int) float64 {
-		return c.ranks[i].service.served(c.config.Ranks[i].Share*slots, level.Interval)
-	})
+	c.meter.Step(now, used, func(i int) float64 { return c.floorServes(i, slots) })
+}
+
+// floorServes returns the requests of a rank that keep its floor in use for one
+// interval of the levels, and more while it has had less. As arrivals come by
+// chance, that takes more than the floor serves: the fewer slots, the more.
+func (c *Controller) floorServes(i int, slots float64) float64 {
+	k := c.ranks[i]
+	service := &k.service
+	if service.mean == 0 {
+		service = &c.service
+	}
+	floor := c.config.Ranks[i].Share * slots
+	owed := min(3*max(k.deficit, 0)/credit(floor), 1)
+	spare := spareFactor * math.Sqrt(floor)
+	return service.served(floor*(1+owed)+spare, level.Interval)
 }
 
 // fill gives free slots to queued requests and refuses those whose time is over.
--- a/core/level/meter.go
+++ b/core/level/meter.go
@@ -7,13 +7,16 @@
 	Interval = 100 * time.Millisecond
 	// excess is how much more than a rank's slots take is let through, so that no
 	// slot is idle; seeking is the same for a rank that loses nothing.
-	excess  = 0.1
-	seeking = 0.2
-	// lossless is the part of lost requests that counts as nothing.
-	lossless = 0.005
+	excess  = 0.2
+	seeking = 0.25
+	// losslessPart is the part of lost requests that counts as nothing.
+	losslessPart = 0.005
 	// memory is the part of the counts that a step hands to the next, and
-	// shortMemory the same while much is lost or many slots are idle.
+	// shortMemory the same while much is lost or many slots are idle, and
+	// longMemory while the counts are too few to tell a trend from chance.
 	memory      = 0.85
+	longMemory  = 0.95
+	fewRequests = 40
 	shortMemory = 0.5
 	muchLost    = 0.3
 	fewUsed     = 0.75
@@ -80,23 +83,31 @@
 // step sets the part let through to what the slots take of the demand.
 func (r *meterRank) step(used, floor float64) {
 	r.remember(used)
-	if r.demand == 0 {
-		r.pass = min(r.pass*rebound, 1)
-		return
-	}
-	more := excess
-	if r.shed <= lossless*r.passed {
-		more = seeking
-	}
+	lossless := r.shed <= losslessPart*r.passed
 	room := min(max(target/max(used, leastPass), 1), rebound)
 	supply := max(r.passed-r.shed, 0) * room
 	supply = max(supply, floor*r.weight)
-	r.pass = min(max(supply*(1+more)/r.demand, leastPass), 1)
+	more := excess
+	if lossless {
+		more = seeking
+	}
+	next := 0.0
+	if r.demand > 0 {
+		next = supply * (1 + more) / r.demand
+	}
+	if lossless {
+		// The counts of a rank with few requests lag behind.
+		next = max(next, r.pass*room)
+	}
+	r.pass = min(max(next, leastPass), 1)
 }
 
 // remember takes the counts since the last step in.
 func (r *meterRank) remember(used float64) {
 	kept := memory
+	if r.passed < fewRequests {
+		kept = longMemory
+	}
 	if r.newShed > muchLost*r.newPassed || used < fewUsed {
 		kept = shortMemory
 	}
--- a/core/limit/limit.go
+++ b/core/limit/limit.go
@@ -32,8 +32,11 @@
 	growth = 0.1
 	// binding is the part of the limit from which it counts as reached.
 	binding = 0.8
-	// baseWeight is the weight of a new window in the base latency.
+	// baseWeight is the weight of a whole window of a rank in its base latency.
 	baseWeight = 0.25
+	// lower is the part of the base from which a latency counts as lower than it,
+	// and not as chance.
+	lower = 0.9
 	// shedShare is the part of refused runs that counts as overload.
 	shedShare = 0.01
 	// shedCut is the cut for runs that the upstream refused.
@@ -41,10 +44,10 @@
 	// unhelped is the part of refusals that must stay after the limit was halved
 	// for the refusals to have another cause.
 	unhelped = 0.8
-	// raiseWait and raiseWaitMost bound the wait before a limit found by
-	// refusals is raised.
-	raiseWait     = time.Second
-	raiseWaitMost = 16 * time.Second
+	// raiseWait is the wait before a limit found by refusals is raised by one,
+	// and raiseNext that before the next step, twice as large, if it held.
+	raiseWait = 2 * time.Second
+	raiseNext = 500 * time.Millisecond
 	// ignoreTime is how long refusals with another cause are ignored.
 	ignoreTime = 10 * time.Second
 	// coldPart is the part of Most that a new upstream may run at first.
@@ -110,9 +113,8 @@
 	ceiling     float64 // 0 if none is known
 	began       float64 // the limit when the present cuts began, 0 if none
 	rate        float64
-	raising     bool // the last change was a step up
 	changed     time.Time
-	wait        time.Duration
+	step        float64 // the last change if it was upwards, else 0
 	ignoreUntil time.Time
 }
 
@@ -160,8 +162,10 @@
 	w := &l.window
 	w.peak = max(w.peak, s.Running)
 	w.samples++
+	l.raise(now)
 	if s.Overloaded {
 		w.refused++
+		l.stepBack(now)
 	} else {
 		rank := min(max(s.Rank, 0), len(l.base)-1)
 		w.latency[rank] += s.Latency.Seconds()
@@ -177,6 +181,9 @@
 	if age >= windowTimeout {
 		return true
 	}
+	if l.window.refused >= fewSamples && age >= windowTime {
+		return true
+	}
 	return age >= l.window.least && l.window.samples >= windowSamples
 }
 
@@ -285,19 +292,28 @@
 		switch {
 		case l.base[i] == 0:
 			l.base[i] = mean
-		case n >= fewSamples && (mean < l.base[i] || unbound):
-			l.base[i] += baseWeight * (mean - l.base[i])
+		case unbound || mean < lower*l.base[i]:
+			weight := baseWeight * min(1, float64(n)/windowSamples)
+			l.base[i] += weight * (mean - l.base[i])
 		}
 	}
 }
 
+// stepBack takes a step of the ceiling back at the first refusal.
+func (l *Limiter) stepBack(now time.Time) {
+	if l.shed.step > 0 {
+		l.shed.lower(now, 0)
+		l.open(now, true)
+	}
+}
+
 // judgeRefusals finds the limit at which the upstream refuses runs and reports
 // whether it lowered it.
 func (l *Limiter) judgeRefusals(now time.Time, w window) bool {
 	s := &l.shed
 	rate := float64(w.refused) / float64(w.samples)
 	if rate <= shedShare || now.Before(s.ignoreUntil) {
-		l.raise(now)
+		s.began = 0
 		return false
 	}
 	if s.began == 0 {
@@ -312,32 +328,33 @@
 }
 
 // lower sets the ceiling below the number of runs at which the upstream refused
-// some. If that was one step up from a ceiling that held, it goes back there.
+// some. If that was a step up from a ceiling that held, it goes back there.
 func (s *shedding) lower(now time.Time, running int) {
-	if s.raising {
-		s.ceiling = max(1, s.ceiling-1)
-		s.wait = min(2*s.wait, raiseWaitMost)
+	if s.step > 0 {
+		s.ceiling = max(1, s.ceiling-s.step)
 	} else {
 		s.ceiling = max(1, math.Floor(shedCut*float64(running)))
-		s.wait = raiseWait
 	}
-	s.raising = false
+	s.step = 0
 	s.changed = now
 }
 
-// raise lifts the ceiling by a step when its wait is over.
+// raise lifts the ceiling when its wait is over, by steps that double.
 func (l *Limiter) raise(now time.Time) {
 	s := &l.shed
-	s.began = 0
-	if s.ceiling == 0 || now.Sub(s.changed) < s.wait {
+	if s.ceiling == 0 {
 		return
 	}
-	if s.raising {
-		s.wait = max(s.wait/2, raiseWait)
+	wait := raiseWait
+	if s.step > 0 {
+		wait = raiseNext
+	}
+	if now.Sub(s.changed) < wait {
+		return
 	}
-	s.raising = true
+	s.step = max(1, 2*s.step)
+	s.ceiling += s.step
 	s.changed = now
-	s.ceiling++
 	if s.ceiling >= float64(l.config.Most) {
 		s.ceiling = 0
 	}
--- /dev/null
+++ b/lab/experiment/table.go
@@ -0,0 +1,61 @@
+package experiment
+
+import (
+	"fmt"
+	"io"
+	"strings"
+)
+
+// Report runs every scenario in every mode and writes the tables as Markdown.
+// command is the command line that is named in the report.
+func Report(out io.Writer, seed uint64, command string) error {
+	_, err := fmt.Fprintf(out, header, command, seed, deepest().capacity())
+	if err != nil {
+		return err
+	}
+	for _, s := range Scenarios() {
+		if err := reportScenario(out, seed, s); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+const header = `# Policy under load
+
+Written by ` + "`%s`" + ` (seed %d, virtual time). Four services in a chain; the deepest takes %.0f requests/s.
+The ordinary demand is 70%% of that. Goodput and what a rank keeps are parts of the deepest service's capacity
+during the trigger; served is the part of a rank's requests that were whole in that time; wasted is the part of upstream
+work, from the trigger's begin to the end of the run, that went into sends that were not whole; recovery is the time from the
+trigger's end until the part of requests served stays at 95%% of the former or more.
+Ranks: ruling (floor 0.2, protected), lookup (0.4), bulk (0.1). A resend by a caller counts for its request.
+
+`
+
+func reportScenario(out io.Writer, seed uint64, s Scenario) error {
+	var b strings.Builder
+	fmt.Fprintf(&b, "## %s, for %v\n\n", s.Name, s.Trigger)
+	b.WriteString("| control | goodput | served ruling | lookup | bulk | kept ruling | lookup | bulk | wasted | recovery |\n")
+	b.WriteString("|---|---|---|---|---|---|---|---|---|---|\n")
+	for _, m := range Modes() {
+		r := Run(seed, s, m)
+		fmt.Fprintf(&b, "| %s | %.3f |", m, r.Goodput)
+		for rank := range ranks {
+			fmt.Fprintf(&b, " %.1f%% |", 100*r.Served[rank])
+		}
+		for rank := range ranks {
+			fmt.Fprintf(&b, " %.3f |", r.Kept[rank])
+		}
+		fmt.Fprintf(&b, " %.1f%% | %s |\n", 100*r.Wasted, recoveryText(r))
+	}
+	b.WriteString("\n")
+	_, err := io.WriteString(out, b.String())
+	return err
+}
+
+func recoveryText(r Result) string {
+	if !r.Recovered {
+		return "none in the run"
+	}
+	return fmt.Sprintf("%.1f s", r.Recovery.Seconds())
+}
