--- a/node/upstream/upstream.go
+++ b/node/upstream/upstream.go
@@ -85,20 +85,25 @@
 	}
 	u.table.Begin(run)
 	var once atomic.Bool
-	end := func(overloaded bool) {
+	end := func(as End) {
 		if once.Swap(true) {
 			return
 		}
 		cancel()
 		u.table.End(run.ID)
-		pass.Leave(overloaded)
+		pass.Leave(as)
 	}
 	response, sent, err := u.forward(ctx, r)
 	if err != nil {
-		end(errors.Is(err, context.DeadlineExceeded))
-		return u.failure(r, run, sent, err)
-	}
-	return u.answer(run, response, end)
+		end(endOfError(run, err))
+		a := u.failure(r, run, sent, err)
+		a.Level = u.gate.worst(run)
+		return a
+	}
+	pass.Answered()
+	a := u.answer(run, response, end)
+	a.Level = u.gate.worst(run)
+	return a
 }
 
 // until returns a context that ends at the deadline. It sets no second timer if
@@ -171,11 +176,11 @@
 	return a
 }
 
-func (u *Runner) answer(run *runs.Run, response *http.Response, end func(bool)) *call.Answer {
+func (u *Runner) answer(run *runs.Run, response *http.Response, end func(End)) *call.Answer {
 	header := response.Header
 	call.RemoveHopByHop(header)
-	overloaded := response.StatusCode == http.StatusServiceUnavailable
-	body := &endingBody{response.Body, func() { end(overloaded) }}
+	as := endOfStatus(run, response.StatusCode)
+	body := &endingBody{response.Body, func() { end(as) }}
 	if call.HeaderFields(header) > call.MaxHeaderFields {
 		_ = body.Close()
 		return call.Refuse(call.Ran, call.RefusedUnreachable, "the upstream's answer has too many header fields")
