--- /dev/null
+++ b/core/member/member_test.go
@@ -0,0 +1,345 @@
+package member_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"fuchsiavane.org/core/member"
+	"fuchsiavane.org/core/member/membertest"
+)
+
+// healTarget and leaveTarget are the project's stated bounds.
+const (
+	healTarget  = 10 * time.Second
+	leaveTarget = 3 * time.Second
+)
+
+// fleet starts n members in each of some data centres; those of the name
+// "a-..." are in region a.
+func fleet(t *testing.T, seed uint64, n int, centres ...string) *membertest.Network {
+	t.Helper()
+	network := membertest.New(seed)
+	var join []string
+	for _, centre := range centres {
+		join = append(join, centre+"-i0000:7402")
+	}
+	for _, centre := range centres {
+		for i := range n {
+			network.Start(network.Record(centre[:1], centre, i), join...)
+		}
+	}
+	if took, ok := network.Until(30*time.Second, 200*time.Millisecond, network.Agreed); !ok {
+		t.Fatalf("%d members have no common view after %v", len(network.Nodes), took)
+	}
+	return network
+}
+
+func find(network *membertest.Network, id string) *membertest.Node {
+	for _, node := range network.Nodes {
+		if node.Record.ID == id && !node.Crashed {
+			return node
+		}
+	}
+	return nil
+}
+
+// peer returns what a node knows of an id.
+func peer(node *membertest.Node, id string) (member.Peer, bool) {
+	for _, p := range node.Member.Peers() {
+		if p.ID == id {
+			return p, true
+		}
+	}
+	return member.Peer{}, false
+}
+
+// everyone reports whether a condition holds at each running node.
+func everyone(network *membertest.Network, holds func(*membertest.Node) bool) func() bool {
+	return func() bool {
+		for _, node := range network.Running() {
+			if !holds(node) {
+				return false
+			}
+		}
+		return true
+	}
+}
+
+func TestJoinBySize(t *testing.T) {
+	for _, n := range []int{16, 64, 256} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			t.Parallel()
+			network := fleet(t, uint64(n), n, "a-1")
+			network.Run(20 * time.Second)
+			is.New(t).True(network.Agreed()) // a quiet cluster suspects nobody
+		})
+	}
+}
+
+func TestLossRaisesNoFalseDeath(t *testing.T) {
+	network := fleet(t, 1, 64, "a-1")
+	network.Loss = 0.05
+	network.Run(60 * time.Second)
+	for _, node := range network.Nodes {
+		for _, e := range node.Member.Events() {
+			if e.Kind == member.EventDead {
+				t.Fatalf("%s declared %s dead at 5%% loss", node.Record.ID, e.Subject)
+			}
+		}
+	}
+}
+
+func TestCrashIsFound(t *testing.T) {
+	is := is.New(t)
+	network := fleet(t, 2, 64, "a-1", "b-1")
+	network.Crash(find(network, "a-1-i0007"))
+	took, ok := network.Until(15*time.Second, 100*time.Millisecond, network.Agreed)
+	is.True(ok) // everyone in both data centres knows
+	t.Logf("crash known to all after %v", took)
+}
+
+func TestLeaveIsSeenByAll(t *testing.T) {
+	for _, n := range []int{16, 64, 256} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			t.Parallel()
+			network := fleet(t, 3, n/2, "a-1", "b-1")
+			network.Run(5 * time.Second)
+			leaver := find(network, "a-1-i0003")
+			network.Leave(leaver)
+			took, ok := network.Until(leaveTarget, 50*time.Millisecond, everyone(network, func(node *membertest.Node) bool {
+				p, known := peer(node, "a-1-i0003")
+				return known && p.Leaving
+			}))
+			is.New(t).True(ok) // within the target
+			t.Logf("leaving known to all after %v", took)
+			network.Stop(leaver)
+			_, ok = network.Until(leaveTarget, 50*time.Millisecond, network.Agreed)
+			is.New(t).True(ok)
+		})
+	}
+}
+
+func TestResumeAfterLongPause(t *testing.T) {
+	is := is.New(t)
+	network := fleet(t, 4, 64, "a-1")
+	paused := find(network, "a-1-i0005")
+	network.Pause(paused)
+	_, ok := network.Until(15*time.Second, 200*time.Millisecond, func() bool {
+		_, known := peer(network.Nodes[0], "a-1-i0005")
+		return !known
+	})
+	is.True(ok) // found
+	network.Crash(find(network, "a-1-i0009"))
+	network.Run(5 * time.Minute)
+	for _, node := range network.Nodes {
+		node.Member.Events()
+	}
+	network.Resume(paused)
+	_, ok = network.Until(healTarget, 100*time.Millisecond, network.Agreed)
+	is.True(ok) // it is back, and knows of the crash that it missed
+	for _, node := range network.Running() {
+		for _, e := range node.Member.Events() {
+			is.True(e.Kind != member.EventDead || e.Subject == "a-1-i0009" && node == paused) // it declares nobody dead
+		}
+	}
+}
+
+func TestClockJump(t *testing.T) {
+	is := is.New(t)
+	network := fleet(t, 5, 16, "a-1", "b-1")
+	jumped := find(network, "a-1-i0001")
+	for _, skew := range []time.Duration{time.Hour, -time.Hour, 0} {
+		jumped.Skew = skew
+		network.Run(10 * time.Second)
+		_, ok := network.Until(healTarget, 100*time.Millisecond, network.Agreed)
+		is.True(ok)
+		is.Equal(len(jumped.Member.Unreachable()), 0)
+	}
+}
+
+func TestDuplicateID(t *testing.T) {
+	is := is.New(t)
+	network := fleet(t, 6, 16, "a-1")
+	older := find(network, "a-1-i0004")
+	network.Run(time.Minute)
+	record := network.Record("a", "a-1", 4)
+	record.Addr = "elsewhere:7402"
+	network.Start(record, "a-1-i0000:7402")
+	_, ok := network.Until(healTarget, 100*time.Millisecond, older.Member.Superseded)
+	is.True(ok) // the older process learns that it lost the id
+	network.Run(5 * time.Second)
+	for _, node := range network.Running() {
+		p, known := peer(node, "a-1-i0004")
+		is.True(known)
+		is.True(node == older || p.Addr == "elsewhere:7402") // the newer one holds it
+	}
+}
+
+func TestDuplicateIDWithLateClock(t *testing.T) {
+	is := is.New(t)
+	network := fleet(t, 7, 16, "a-1")
+	older := find(network, "a-1-i0004")
+	network.Run(time.Minute)
+	record := network.Record("a", "a-1", 4)
+	record.Addr = "elsewhere:7402"
+	record.Incarnation -= 3_600_000
+	newer := network.Start(record, "a-1-i0000:7402")
+	_, ok := network.Until(healTarget, 100*time.Millisecond, older.Member.Superseded)
+	is.True(ok)
+	is.True(!newer.Member.Superseded())
+}
+
+func TestStaleIncarnationChangesNothing(t *testing.T) {
+	is := is.New(t)
+	network := fleet(t, 8, 16, "a-1")
+	node, target := network.Nodes[0], network.Nodes[1]
+	stale := target.Member.Self()
+	stale.Incarnation--
+	stale.State = member.StateDead
+	node.Member.Receive(network.Now, network.Nodes[2].Record.Addr, &member.Message{
+		Kind: member.KindGossip, From: network.Nodes[2].Record.ID, Rumours: []member.Record{stale},
+	})
+	p, known := peer(node, target.Record.ID)
+	is.True(known)
+	is.Equal(p.State, member.StateAlive)
+}
+
+func TestRestartAtTheSameAddress(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		id    string
+		clock int64 // milliseconds added to the new process's wall clock
+	}{
+		{"same id", "a-1-i0006", 0},
+		{"same id, clock behind", "a-1-i0006", -3_600_000},
+		{"new id", "a-1-new", 0},
+		{"new id, clock behind", "a-1-new", -3_600_000},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			network := fleet(t, 9, 16, "a-1")
+			network.Run(time.Minute)
+			old := find(network, "a-1-i0006")
+			network.Crash(old)
+			record := network.Record("a", "a-1", 6)
+			record.ID = test.id
+			record.Incarnation = uint64(int64(record.Incarnation) + test.clock)
+			network.Start(record, "a-1-i0000:7402")
+			_, ok := network.Until(healTarget, 100*time.Millisecond, network.Agreed)
+			is.True(ok)
+			network.Run(time.Minute)
+			is.True(network.Agreed())
+		})
+	}
+}
+
+// between returns a cut of all messages between data centres a and b; one way
+// only if asked.
+func between(a, b string, oneWay bool) func(x, y *membertest.Node) bool {
+	return func(x, y *membertest.Node) bool {
+		from, to := x.Record.DataCentre, y.Record.DataCentre
+		return from == a && to == b || !oneWay && from == b && to == a
+	}
+}
+
+func TestCentreCutOff(t *testing.T) {
+	for _, oneWay := range []bool{false, true} {
+		t.Run(fmt.Sprintf("one way %v", oneWay), func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			network := fleet(t, 10, 32, "a-1", "b-1")
+			network.Run(5 * time.Second)
+			network.Cut = between("a-1", "b-1", oneWay)
+			_, ok := network.Until(40*time.Second, 200*time.Millisecond, everyone(network, func(node *membertest.Node) bool {
+				return len(node.Member.Unreachable()) == 1
+			}))
+			is.True(ok)                   // both sides call the other unreachable
+			network.Run(11 * time.Minute) // longer than the dead are remembered
+			for _, node := range network.Nodes {
+				is.Equal(len(node.Member.Peers()), 64) // nobody is forgotten
+			}
+			network.Crash(find(network, "a-1-i0011"))
+			network.Crash(find(network, "b-1-i0012"))
+			network.Run(30 * time.Second)
+			network.Cut = nil
+			took, ok := network.Until(healTarget, 100*time.Millisecond, func() bool {
+				return network.Agreed() && everyone(network, func(node *membertest.Node) bool {
+					return len(node.Member.Unreachable()) == 0
+				})()
+			})
+			is.True(ok) // views join within the target
+			t.Logf("joined after %v", took)
+		})
+	}
+}
+
+// TestPartitionInsideCentre splits one data centre for longer than suspicion
+// lasts, so that each half declares the other dead.
+func TestPartitionInsideCentre(t *testing.T) {
+	for _, n := range []int{16, 64, 128} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			network := fleet(t, 11, n, "a-1")
+			half := map[string]bool{}
+			for _, node := range network.Nodes[:n/2] {
+				half[node.Record.ID] = true
+			}
+			network.Cut = func(a, b *membertest.Node) bool { return half[a.Record.ID] != half[b.Record.ID] }
+			_, ok := network.Until(time.Minute, time.Second, everyone(network, func(node *membertest.Node) bool {
+				return len(node.Member.Peers()) == n/2
+			}))
+			is.True(ok) // each half knows only itself
+			network.Cut = nil
+			network.Reset()
+			took, ok := network.Until(healTarget, 100*time.Millisecond, network.Agreed)
+			is.True(ok) // the halves join within the target
+			var most uint64
+			for _, node := range network.Nodes {
+				most = max(most, node.Sent)
+			}
+			t.Logf("joined after %v, at most %d messages a member", took, most)
+			// A storm would send to everyone, every time: the bound is what
+			// gossip and comparisons may send in that time.
+			is.True(most < 600)
+		})
+	}
+}
+
+func TestRevisionReachesAll(t *testing.T) {
+	is := is.New(t)
+	network := fleet(t, 12, 128, "a-1", "b-1")
+	network.Nodes[0].Member.SetRevision(7)
+	follow := func() bool {
+		all := true
+		for _, node := range network.Nodes {
+			if newest := node.Member.Newest(); newest.Revision > node.Member.Self().Revision {
+				node.Member.SetRevision(newest.Revision)
+			}
+			all = all && node.Member.Self().Revision == 7
+		}
+		return all
+	}
+	took, ok := network.Until(6*time.Second, 10*time.Millisecond, follow)
+	is.True(ok)
+	t.Logf("revision known to 256 members after %v", took)
+}
+
+func TestChosenAgree(t *testing.T) {
+	is := is.New(t)
+	network := fleet(t, 13, 64, "a-1")
+	first := network.Nodes[0].Member.Chosen("watch", 2)
+	is.Equal(len(first), 2)
+	for _, node := range network.Nodes {
+		is.Equal(node.Member.Chosen("watch", 2), first)
+	}
+	chosen := find(network, first[0])
+	network.Leave(chosen)
+	network.Run(leaveTarget)
+	for _, node := range network.Nodes {
+		is.True(!node.Member.IsChosen("watch", 2) || node != chosen) // the leaving one hands over
+	}
+}
--- /dev/null
+++ b/core/member/membertest/network.go
@@ -0,0 +1,301 @@
+// Package membertest runs many members in one process over a fake network under
+// virtual time. The network is seeded and delays, loses and cuts. It serves the
+// tests of member and the measurement of its cost.
+package membertest
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"fuchsiavane.org/core/member"
+)
+
+const (
+	// tick is the pause between two ticks of a member.
+	tick = 200 * time.Millisecond
+	// latencyHere, latencyRegion and latencyFar are one-way delays inside a
+	// data centre, inside a region and between regions.
+	latencyHere   = 200 * time.Microsecond
+	latencyRegion = 500 * time.Microsecond
+	latencyFar    = 10 * time.Millisecond
+	// epoch is the wall clock at the start, in milliseconds.
+	epoch = 1_700_000_000_000
+)
+
+// Node is one member on the network.
+type Node struct {
+	Member *member.Member
+	Record member.Record
+	// Crashed nodes neither tick nor receive. Paused ones receive what came
+	// meanwhile when they go on.
+	Crashed, Paused bool
+	// Skew is added to the monotonic time that the member sees.
+	Skew time.Duration
+	// Sent, Received and the bytes count datagrams and stream messages.
+	Sent, Received           uint64
+	SentBytes, ReceivedBytes uint64
+	// Busy is the real time spent in the member.
+	Busy time.Duration
+
+	held []delivery
+}
+
+// Network joins nodes.
+type Network struct {
+	// Now is the virtual time.
+	Now time.Duration
+	// Loss is the part of datagrams lost, from 0 to 1.
+	Loss float64
+	// Cut reports whether datagrams and streams from a to b are cut.
+	Cut func(a, b *Node) bool
+	// Size returns the bytes of a message on the network; nil counts none.
+	Size func(*member.Message) int
+	// Seen is called for each message sent, unless nil.
+	Seen func(from *Node, out *member.Outgoing)
+
+	Nodes  []*Node
+	byAddr map[string]*Node
+	random *rand.Rand
+	queue  queue
+	order  uint64
+}
+
+// New returns an empty network.
+func New(seed uint64) *Network {
+	return &Network{byAddr: map[string]*Node{}, random: rand.New(rand.NewPCG(seed, seed))}
+}
+
+// delivery is a message under way, or a tick if message is nil.
+type delivery struct {
+	at      time.Duration
+	order   uint64
+	from    string
+	node    *Node
+	message *member.Message
+}
+
+type queue []delivery
+
+func (q queue) Len() int { return len(q) }
+func (q queue) Less(i, j int) bool {
+	if q[i].at != q[j].at {
+		return q[i].at < q[j].at
+	}
+	return q[i].order < q[j].order
+}
+func (q queue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *queue) Push(x any)   { *q = append(*q, x.(delivery)) }
+func (q *queue) Pop() any {
+	old := *q
+	last := old[len(old)-1]
+	old[len(old)-1] = delivery{}
+	*q = old[:len(old)-1]
+	return last
+}
+
+// Record returns the record of the i-th member of a data centre. The wall clock
+// of its start is the network's time.
+func (n *Network) Record(region, dataCentre string, i int) member.Record {
+	id := fmt.Sprintf("%s-i%04d", dataCentre, i)
+	return member.Record{
+		ID: id, Service: fmt.Sprintf("service-%03d", i%78), Region: region, DataCentre: dataCentre,
+		Addr: id + ":7402", Incarnation: epoch + uint64(n.Now/time.Millisecond),
+	}
+}
+
+// Start adds a member and lets it join by addresses.
+func (n *Network) Start(record member.Record, join ...string) *Node {
+	node := &Node{Record: record}
+	node.Member = member.New(record, n.Now, rand.New(rand.NewPCG(n.random.Uint64(), n.random.Uint64())))
+	n.Nodes = append(n.Nodes, node)
+	n.byAddr[record.Addr] = node
+	n.Send(node, node.Member.Join(join))
+	n.push(delivery{at: n.Now + time.Duration(n.random.Int64N(int64(tick))), node: node})
+	return node
+}
+
+// Crash ends a member without a word.
+func (n *Network) Crash(node *Node) { node.Crashed = true }
+
+// Leave lets a member announce its planned stop.
+func (n *Network) Leave(node *Node) { n.Send(node, node.Member.Leave(n.Now+node.Skew)) }
+
+// Stop lets a member say its last word and ends it.
+func (n *Network) Stop(node *Node) {
+	n.Send(node, node.Member.Gone(n.Now+node.Skew))
+	node.Crashed = true
+}
+
+// Pause stops a member; Resume lets it go on with what has come meanwhile.
+func (n *Network) Pause(node *Node) { node.Paused = true }
+
+// Resume ends a pause.
+func (n *Network) Resume(node *Node) {
+	node.Paused = false
+	for _, d := range node.held {
+		d.at = n.Now
+		n.push(d)
+	}
+	node.held = nil
+	n.push(delivery{at: n.Now, node: node})
+}
+
+// Run lets virtual time pass.
+func (n *Network) Run(d time.Duration) {
+	end := n.Now + d
+	for len(n.queue) > 0 && n.queue[0].at <= end {
+		next := heap.Pop(&n.queue).(delivery)
+		n.Now = next.at
+		n.step(next)
+	}
+	n.Now = end
+}
+
+// Until lets time pass until a condition holds, and returns how long it took
+// and whether it came within the bound. The condition is looked at every step.
+func (n *Network) Until(bound, step time.Duration, condition func() bool) (time.Duration, bool) {
+	start := n.Now
+	for n.Now-start < bound {
+		if condition() {
+			return n.Now - start, true
+		}
+		n.Run(step)
+	}
+	return n.Now - start, condition()
+}
+
+func (n *Network) step(d delivery) {
+	node := d.node
+	if node.Crashed {
+		return
+	}
+	if node.Paused {
+		if d.message != nil {
+			node.held = append(node.held, d)
+		}
+		return
+	}
+	if d.message == nil {
+		n.push(delivery{at: n.Now + tick, node: node})
+		n.Send(node, n.timed(node, func() []member.Outgoing { return node.Member.Tick(n.Now + node.Skew) }))
+		return
+	}
+	node.Received++
+	node.ReceivedBytes += n.size(d.message)
+	n.Send(node, n.timed(node, func() []member.Outgoing {
+		return node.Member.Receive(n.Now+node.Skew, d.from, d.message)
+	}))
+}
+
+func (n *Network) timed(node *Node, do func() []member.Outgoing) []member.Outgoing {
+	start := time.Now()
+	out := do()
+	node.Busy += time.Since(start)
+	return out
+}
+
+func (n *Network) size(m *member.Message) uint64 {
+	if n.Size == nil {
+		return 0
+	}
+	return uint64(n.Size(m))
+}
+
+func (n *Network) push(d delivery) {
+	n.order++
+	d.order = n.order
+	heap.Push(&n.queue, d)
+}
+
+// Send puts messages of a node on the network.
+func (n *Network) Send(from *Node, out []member.Outgoing) {
+	for i := range out {
+		n.send(from, &out[i])
+	}
+}
+
+func (n *Network) send(from *Node, out *member.Outgoing) {
+	from.Sent++
+	from.SentBytes += n.size(&out.Message)
+	if n.Seen != nil {
+		n.Seen(from, out)
+	}
+	to := n.byAddr[out.To]
+	if to == nil || n.Cut != nil && n.Cut(from, to) {
+		return
+	}
+	if !out.Reliable && n.random.Float64() < n.Loss {
+		return
+	}
+	n.push(delivery{at: n.Now + n.latency(from, to), from: from.Record.Addr, node: to, message: clone(&out.Message)})
+}
+
+// clone copies what the receiver may change.
+func clone(m *member.Message) *member.Message {
+	c := *m
+	c.Rumours = append([]member.Record(nil), m.Rumours...)
+	c.Records = append([]member.Record(nil), m.Records...)
+	return &c
+}
+
+func (n *Network) latency(a, b *Node) time.Duration {
+	base := latencyFar
+	switch {
+	case a.Record.DataCentre == b.Record.DataCentre:
+		base = latencyHere
+	case a.Record.Region == b.Record.Region:
+		base = latencyRegion
+	}
+	return base + time.Duration(n.random.Int64N(int64(base)))
+}
+
+// Reset sets the counters of all nodes to 0.
+func (n *Network) Reset() {
+	for _, node := range n.Nodes {
+		node.Sent, node.Received, node.SentBytes, node.ReceivedBytes, node.Busy = 0, 0, 0, 0, 0
+	}
+}
+
+// Running returns the nodes that are not crashed.
+func (n *Network) Running() []*Node {
+	var running []*Node
+	for _, node := range n.Nodes {
+		if !node.Crashed {
+			running = append(running, node)
+		}
+	}
+	return running
+}
+
+// Agreed reports whether every running member knows exactly the running ones,
+// all of them alive.
+func (n *Network) Agreed() bool {
+	running := n.Running()
+	for _, node := range running {
+		if node.Paused {
+			continue
+		}
+		if !knows(node, running) {
+			return false
+		}
+	}
+	return true
+}
+
+func knows(node *Node, running []*Node) bool {
+	states := map[string]member.State{}
+	for _, peer := range node.Member.Peers() {
+		states[peer.ID] = peer.State
+	}
+	if len(states) != len(running) {
+		return false
+	}
+	for _, other := range running {
+		if state, known := states[other.Record.ID]; !known || state != member.StateAlive {
+			return false
+		}
+	}
+	return true
+}
