Share the view of the fleet and the settings between daemons

Cause: every daemon listed the store each second and watched the settings head; a daemon started while the store was away knew neither peers nor settings.

Change: node/membership drives core/member by datagrams on the peer port's address (CBOR, sealed by the link key, at most 1200 bytes) and by posts to the peer port for larger state. Relays keep a join address each in a few keys. Two members of a data centre watch the head; the others hear the revision by gossip and pull it from the peer that told it, as a patch where possible. A store that holds older or other settings than those in force gives event 203 and shows in /status. node/discovery is gone. The join keys have no lease: with answers lost a lease can't be had at all (scenario store_loses_answers failed with leases), and a stale address harms nobody. The stand-in gains backup and restore, and cuts waiting watches when it goes down.

Conclusion: the store is asked by watchers and relays only.

--- a/core/member/member.go
+++ b/core/member/member.go
@@ -43,6 +43,7 @@
 // New returns the member of a record at a time. The record's incarnation is the
 // wall clock in milliseconds. The Member owns the random source.
 func New(self Record, now time.Duration, random *rand.Rand) *Member {
+	self.Started = self.Incarnation
 	m := &Member{self: self, view: newView(), random: random, started: now, now: now}
 	m.probes.init()
 	m.view.put(self, now)
--- a/core/member/membertest/network.go
+++ b/core/member/membertest/network.go
@@ -101,7 +101,7 @@
 	id := fmt.Sprintf("%s-i%04d", dataCentre, i)
 	return member.Record{
 		ID: id, Service: fmt.Sprintf("service-%03d", i%78), Region: region, DataCentre: dataCentre,
-		Addr: id + ":7402", Incarnation: epoch + uint64(n.Now/time.Millisecond),
+		Addr: id + ":7402", Admin: id + ":7403", Incarnation: epoch + uint64(n.Now/time.Millisecond),
 	}
 }
 
--- a/core/member/receive.go
+++ b/core/member/receive.go
@@ -56,7 +56,7 @@
 
 // hearSender takes what the sender says of itself on every message.
 func (m *Member) hearSender(from string, message *Message) {
-	if message.Revision > max(m.newest.Revision, m.self.Revision) {
+	if message.Revision > m.self.Revision && message.Revision >= m.newest.Revision {
 		m.newest = Newest{message.Revision, from}
 	}
 	e := m.view.entries[message.From]
--- a/core/member/record.go
+++ b/core/member/record.go
@@ -54,15 +54,20 @@
 	Revision uint64 `cbor:"9,keyasint,omitempty"`
 	// Level is the admission level that the member last told.
 	Level uint32 `cbor:"10,keyasint,omitempty"`
+	// Admin is the host:port of its admin port, for operators.
+	Admin string `cbor:"11,keyasint,omitempty"`
+	// Started is the incarnation at the start of the process, which tells two
+	// processes with the same id apart.
+	Started uint64 `cbor:"12,keyasint,omitempty"`
 }
 
 // recordOverhead is an upper bound of the encoded bytes of a record beside its
 // strings.
-const recordOverhead = 48
+const recordOverhead = 60
 
 // size returns an upper bound of the encoded bytes.
 func (r *Record) size() int {
-	return recordOverhead + len(r.ID) + len(r.Service) + len(r.Region) + len(r.DataCentre) + len(r.Addr)
+	return recordOverhead + len(r.ID) + len(r.Service) + len(r.Region) + len(r.DataCentre) + len(r.Addr) + len(r.Admin)
 }
 
 // overrides reports whether news r replaces what is known.
--- a/core/member/relay.go
+++ b/core/member/relay.go
@@ -25,6 +25,10 @@
 
 func (m *Member) isRelay() bool { return m.IsChosen(relayPurpose, Relays) }
 
+// RelayIDs returns the relays of this data centre, in an order on which members
+// with the same view agree.
+func (m *Member) RelayIDs() []string { return m.Chosen(relayPurpose, Relays) }
+
 // IsRelay reports whether this member is a relay of its data centre.
 func (m *Member) IsRelay() bool { return m.isRelay() }
 
--- a/lab/platformsim/platformsim.go
+++ b/lab/platformsim/platformsim.go
@@ -3,6 +3,7 @@
 package platformsim
 
 import (
+	"context"
 	"encoding/base64"
 	"encoding/json"
 	"io"
@@ -42,11 +43,13 @@
 	mu    sync.Mutex
 	fault Fault
 	stats Stats
+	down  chan struct{} // closed while the store is down
 }
 
 // New returns a Server over a store.
 func New(store *memstore.Store) *Server {
-	s := &Server{store: store, mux: http.NewServeMux()}
+	s := &Server{store: store, mux: http.NewServeMux(), down: make(chan struct{})}
+	s.handleBackup()
 	s.mux.HandleFunc("/fault", s.setFault)
 	s.mux.HandleFunc("GET /v1/stats", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, s.Stats()) })
 	s.handle("GET /v1/kv/{key...}", &s.stats.Reads, s.get)
@@ -70,10 +73,17 @@
 	return s.stats
 }
 
-// SetFault changes how the store misbehaves.
+// SetFault changes how the store misbehaves. Waiting watches are cut when it
+// goes down.
 func (s *Server) SetFault(f Fault) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if f.Down && !s.fault.Down {
+		close(s.down)
+	}
+	if !f.Down && s.fault.Down {
+		s.down = make(chan struct{})
+	}
 	s.fault = f
 }
 
@@ -91,7 +101,7 @@
 	s.mux.HandleFunc(pattern, func(w http.ResponseWriter, r *http.Request) {
 		s.mu.Lock()
 		*counter++
-		fault := s.fault
+		fault, down := s.fault, s.down
 		s.mu.Unlock()
 		time.Sleep(time.Duration(fault.SlowMs) * time.Millisecond)
 		if fault.Down {
@@ -102,10 +112,22 @@
 			serve(discard{}, r)
 			panic(http.ErrAbortHandler)
 		}
-		serve(w, r)
+		ctx, cancel := context.WithCancel(r.Context())
+		defer cancel()
+		go cancelOn(ctx, cancel, down)
+		serve(w, r.WithContext(ctx))
 	})
 }
 
+// cancelOn cancels a call when the store goes down.
+func cancelOn(ctx context.Context, cancel context.CancelFunc, down <-chan struct{}) {
+	select {
+	case <-down:
+		cancel()
+	case <-ctx.Done():
+	}
+}
+
 // discard is a ResponseWriter whose answer is lost.
 type discard struct{}
 
@@ -206,7 +228,7 @@
 	}
 	changes, revision, err := s.store.Watch(r.Context(), r.URL.Query().Get("prefix"), after, time.Duration(wait)*time.Millisecond)
 	if err != nil {
-		return // the caller went away
+		panic(http.ErrAbortHandler) // the caller went away, or the store went down
 	}
 	body := watchBody{Events: []entryBody{}, Revision: revision}
 	for _, c := range changes {
--- a/node/admin/admin.go
+++ b/node/admin/admin.go
@@ -44,7 +44,17 @@
 	RegionLinkShare float64 `json:"region_link_share"`
 	// Ejected lists the peers that get no calls because they fail.
 	Ejected []string `json:"ejected,omitempty"`
-	Peers   []Peer   `json:"peers"`
+	// Relay is set while this daemon is a relay between data centres.
+	Relay bool `json:"relay"`
+	// Superseded is set once another process holds this instance id.
+	Superseded bool `json:"superseded,omitempty"`
+	// Unreachable lists the data centres that do not answer.
+	Unreachable []string `json:"unreachable,omitempty"`
+	// StoreOlder is set while this daemon sees the store hold settings that are
+	// older than, or differ from, those in force; StoreRevision is their revision.
+	StoreOlder    bool   `json:"store_settings_older,omitempty"`
+	StoreRevision uint64 `json:"store_settings_revision,omitempty"`
+	Peers         []Peer `json:"peers"`
 }
 
 // Daemon is what the port shows and drives.
--- a/node/daemon/daemon.go
+++ b/node/daemon/daemon.go
@@ -14,7 +14,6 @@
 	"fuchsiavane.org/node/admin"
 	"fuchsiavane.org/node/call"
 	"fuchsiavane.org/node/config"
-	"fuchsiavane.org/node/discovery"
 	"fuchsiavane.org/node/event"
 	"fuchsiavane.org/node/gateway"
 	"fuchsiavane.org/node/link"
@@ -38,9 +37,8 @@
 	config   config.Config
 	log      *event.Logger
 	settings *settingsync.Holder
-	syncer   *settingsync.Syncer
 	picker   *route.Picker
-	found    *discovery.Discovery
+	shared   *shared
 	pool     *link.Pool
 	listener *link.Listener
 	gate     *upstream.Gate
@@ -74,7 +72,7 @@
 	}
 	identity := link.Identity{Instance: c.InstanceID, Key: []byte(c.LinkKey)}
 	table := runs.NewTable()
-	d.syncer = settingsync.NewSyncer(store, d.settings, log)
+	d.shared = newShared(c, store, d.settings, d.picker, d.metrics, log)
 	d.gate = upstream.NewGate(c.Service, d.settings)
 	d.runner = upstream.NewRunner(base, d.gate, table)
 	d.guardOwn(store, base)
@@ -85,11 +83,6 @@
 		Settings: d.settings, Picker: d.picker, Far: d.far, Transport: d.pool,
 		Own: d.own, Runs: table, Suspects: d.guard.Ledger(), Observer: d.metrics, Log: log,
 	})
-	self := route.Peer{
-		ID: c.InstanceID, Service: c.Service, Region: c.Region, DataCentre: c.DataCentre,
-		Addr: c.PeerListen, Admin: c.AdminListen, Started: time.Now().UnixNano(),
-	}
-	d.found = discovery.New(self, store, d.picker, log)
 	d.metrics.Gauge("fuchsiavane_running", func() float64 { running, _ := d.gate.Load(); return float64(running) })
 	d.linkMetrics()
 	d.metrics.Gauge("fuchsiavane_queued", func() float64 { _, queued := d.gate.Load(); return float64(queued) })
@@ -103,14 +96,17 @@
 	if d.ports, err = d.listen(); err != nil {
 		return err
 	}
+	if err = d.shared.members.Listen(); err != nil {
+		d.ports.close()
+		return err
+	}
 	if d.config.LinkKey == "" {
 		d.log.Log(event.LinksOpen).Msg("no link key is set: links are taken from loopback only")
 	}
 	duties, stop := context.WithCancel(context.Background())
 	defer stop()
 	var group sync.WaitGroup
-	group.Go(func() { d.syncer.Run(duties) })
-	group.Go(func() { d.found.Run(duties) })
+	d.shared.start()
 	group.Go(func() { d.tick(duties) })
 	group.Go(func() { d.shareLink(duties) })
 	group.Go(func() { d.keeper.Run(duties) })
@@ -150,7 +146,7 @@
 	case <-d.draining:
 		return false
 	default:
-		return true
+		return !d.shared.members.View().Superseded
 	}
 }
 
@@ -170,14 +166,6 @@
 		SettingsRevision: d.settings.Current().Revision, Running: running, Queued: queued,
 		RegionLinkShare: d.far.Rate(), Ejected: d.picker.Ejected(time.Now()),
 	}
-	for _, p := range d.picker.Peers() {
-		state := admin.StateServing
-		if p.Leaving {
-			state = admin.StateLeaving
-		}
-		s.Peers = append(s.Peers, admin.Peer{
-			ID: p.ID, Service: p.Service, Region: p.Region, DataCentre: p.DataCentre, Addr: p.Addr, Admin: p.Admin, State: state,
-		})
-	}
+	d.shared.describe(&s)
 	return s
 }
--- a/node/daemon/drain.go
+++ b/node/daemon/drain.go
@@ -15,8 +15,6 @@
 	noticeTime = time.Second
 	// linksTime bounds the wait for the peers to close their links.
 	linksTime = 3 * time.Second
-	// goneTime bounds the removal of the own entry.
-	goneTime = time.Second
 )
 
 // leave is the planned stop: tell the peers and the callers, refuse new work,
@@ -50,7 +48,7 @@
 	ctx, cancel := context.WithTimeout(ctx, noticeTime)
 	defer cancel()
 	go d.tick(ctx)
-	_ = d.found.Leave(ctx)
+	d.shared.members.Leave(ctx)
 	<-ctx.Done()
 }
 
@@ -59,9 +57,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), linksTime)
 	defer cancel()
 	d.listener.Shutdown(ctx)
-	ctx, cancelGone := context.WithTimeout(context.Background(), goneTime)
-	defer cancelGone()
-	_ = d.found.Gone(ctx)
+	d.shared.end()
 }
 
 // finish waits until nothing runs at the upstream.
--- a/node/daemon/ports.go
+++ b/node/daemon/ports.go
@@ -14,6 +14,8 @@
 	"fuchsiavane.org/node/admin"
 	"fuchsiavane.org/node/call"
 	"fuchsiavane.org/node/link"
+	"fuchsiavane.org/node/membership"
+	"fuchsiavane.org/node/settingsync"
 )
 
 const (
@@ -39,6 +41,8 @@
 func (d *Daemon) listen() (*ports, error) {
 	peer := http.NewServeMux()
 	peer.Handle(link.Path, d.listener)
+	peer.Handle(membership.Path, d.shared.members)
+	peer.Handle(settingsync.Path, d.shared.exchange)
 	p := &ports{}
 	for _, want := range []struct {
 		at      **port
--- /dev/null
+++ b/node/edit/decode.go
@@ -0,0 +1,16 @@
+package edit
+
+import (
+	"encoding/json"
+
+	"github.com/pkg/errors"
+)
+
+// Decode returns the head that a value of HeadKey holds.
+func Decode(value []byte) (Head, error) {
+	var head Head
+	if err := json.Unmarshal(value, &head); err != nil {
+		return Head{}, errors.Wrapf(err, "value of %s", HeadKey)
+	}
+	return head, nil
+}
--- a/node/event/catalogue.go
+++ b/node/event/catalogue.go
@@ -24,13 +24,18 @@
 	LinkNotOpened      = Event{305, "link-not-opened", plog.WarnLevel, "A link to a peer could not be opened. The pause before the next dial doubles up to 2 s; failures gives the dials that failed in a row."}
 	LinkRecovered      = Event{306, "link-recovered", plog.WarnLevel, "A link broke with requests in progress. asked gives those whose answers were asked for on a new link, lost those whose outcome stays unknown."}
 	PeersChanged       = Event{401, "peers-changed", plog.InfoLevel, "The set of known peers changed."}
+	MemberDead         = Event{402, "member-dead", plog.WarnLevel, "An instance of this data centre answered no probe and did not refute its suspicion. It crashed, is paused or is cut off."}
+	MemberResumed      = Event{403, "member-resumed", plog.WarnLevel, "This daemon was paused for seconds, or its machine was overloaded. It judges nobody by the pause and joins anew."}
+	MemberSuperseded   = Event{404, "instance-duplicate", plog.ErrorLevel, "A process that started later holds this instance id. This daemon is not ready and takes no part in membership; give one of the two another id."}
+	CentreUnreachable  = Event{405, "data-centre-unreachable", plog.ErrorLevel, "A data centre does not answer. Its instances are kept and used again when it answers."}
+	CentreReachable    = Event{406, "data-centre-reachable", plog.InfoLevel, "A data centre answers again."}
 	BadCallerInput     = Event{501, "request-malformed", plog.InfoLevel, "A caller's request was malformed and refused."}
 	UpstreamCrashed    = Event{510, "upstream-crashed", plog.WarnLevel, "The upstream died with requests in flight. Each of them runs alone from now on, until it has ended well."}
 	RequestQuarantined = Event{511, "request-quarantined", plog.ErrorLevel, "A request has crashed two upstreams and is refused with 422 for an hour. Find it by its fingerprint and mend the upstream."}
-	ClaimsNotRefreshed = Event{603, "claims-not-refreshed", plog.WarnLevel, "The claims on keys of non-idempotent requests could not be refreshed. The instance runs such requests until its claims end; see docs/operations/once.md."}
-	ClaimsNotReleased  = Event{604, "claims-not-released", plog.WarnLevel, "A leaving instance could not give up its claims. The keys that it owned are refused until the claims end."}
 	PlatformAway       = Event{601, "platform-away", plog.WarnLevel, "The platform's store does not answer. The daemon goes on with what it holds."}
 	PlatformBack       = Event{602, "platform-back", plog.InfoLevel, "The platform's store answers again."}
+	ClaimsNotRefreshed = Event{603, "claims-not-refreshed", plog.WarnLevel, "The claims on keys of non-idempotent requests could not be refreshed. The instance runs such requests until its claims end; see docs/operations/once.md."}
+	ClaimsNotReleased  = Event{604, "claims-not-released", plog.WarnLevel, "A leaving instance could not give up its claims. The keys that it owned are refused until the claims end."}
 )
 
 // Catalogue lists every event by number.
@@ -39,7 +44,8 @@
 		DaemonStarted, DaemonLeaving, DaemonStopped, LinksOpen, PortFailed,
 		SettingsInForce, SettingsRefused, SettingsOlder,
 		LinkOpened, LinkClosed, LinkRefused, LinkMalformed, LinkNotOpened, LinkRecovered,
-		PeersChanged, BadCallerInput, PlatformAway, PlatformBack,
+		PeersChanged, MemberDead, MemberResumed, MemberSuperseded, CentreUnreachable, CentreReachable,
+		BadCallerInput, PlatformAway, PlatformBack,
 		ClaimsNotRefreshed, ClaimsNotReleased, UpstreamCrashed, RequestQuarantined,
 	}
 	slices.SortFunc(all, func(a, b Event) int { return a.Number - b.Number })
--- /dev/null
+++ b/node/membership/stream.go
@@ -0,0 +1,101 @@
+package membership
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"fuchsiavane.org/core/member"
+)
+
+// Path is where the peer port takes membership streams.
+const Path = "/fuchsiavane/members"
+
+// Purposes of seals.
+const (
+	datagramPurpose = "member datagram"
+	streamPurpose   = "member stream"
+)
+
+const (
+	// streamTimeout bounds one stream.
+	streamTimeout = 10 * time.Second
+	// streamIdle is how long an unused stream connection is kept.
+	streamIdle = 10 * time.Second
+)
+
+// enqueueStream hands a large message to the stream workers, or drops it.
+func (d *Duty) enqueueStream(out member.Outgoing) {
+	select {
+	case d.streams <- out:
+	default:
+		d.counts.droppedStream.Inc()
+	}
+}
+
+func (d *Duty) sendStreams(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case out := <-d.streams:
+			d.sendStream(ctx, &out)
+		}
+	}
+}
+
+func (d *Duty) sendStream(ctx context.Context, out *member.Outgoing) {
+	data, err := cbor.Marshal(envelope{d.config.Self.Addr, out.Message})
+	if err != nil {
+		d.counts.malformed.Inc()
+		return
+	}
+	sealed := d.seal.Seal(streamPurpose, data)
+	d.counts.sent.Inc()
+	d.counts.sentBytes.Add(len(sealed))
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+out.To+Path, bytes.NewReader(sealed))
+	if err != nil {
+		d.counts.malformed.Inc()
+		return
+	}
+	response, err := d.client.Do(request)
+	if err != nil {
+		d.counts.failedStream.Inc()
+		return
+	}
+	_ = response.Body.Close()
+}
+
+// ServeHTTP takes a stream on the peer port.
+func (d *Duty) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	from, err := netip.ParseAddrPort(r.RemoteAddr)
+	if err != nil || r.Method != http.MethodPost {
+		http.Error(w, "want a post", http.StatusBadRequest)
+		return
+	}
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxStream))
+	if err != nil {
+		http.Error(w, "too large", http.StatusRequestEntityTooLarge)
+		return
+	}
+	d.counts.receivedBytes.Add(len(data))
+	opened, err := d.seal.Open(streamPurpose, data, from.Addr())
+	if err != nil {
+		d.counts.refused.Inc()
+		http.Error(w, "refused", http.StatusForbidden)
+		return
+	}
+	var e envelope
+	if err := decMode.Unmarshal(opened, &e); err != nil || check(&e.Message) != nil {
+		d.counts.malformed.Inc()
+		http.Error(w, "malformed", http.StatusBadRequest)
+		return
+	}
+	d.enqueue(inbound{e.From, &e.Message})
+	w.WriteHeader(http.StatusNoContent)
+}
--- a/node/platform/memstore/memstore.go
+++ b/node/platform/memstore/memstore.go
@@ -118,7 +118,7 @@
 	defer timer.Stop()
 	for {
 		changes, revision, changed := s.since(prefix, after)
-		if len(changes) > 0 {
+		if len(changes) > 0 || revision < after {
 			return changes, revision, nil
 		}
 		select {
