--- a/core/once/owner.go
+++ b/core/once/owner.go
@@ -1,6 +1,9 @@
 package once
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // bucketSpan is the span of birth times that is forgotten together.
 const bucketSpan = Millis(60_000)
@@ -105,6 +108,12 @@
 	return append(held, claim)
 }
 
+// Held returns the intervals of a shard, oldest first.
+func (o *Owner[A]) Held(shard int) []Interval { return slices.Clone(o.held[shard]) }
+
+// Floor returns the birth time before which keys are refused as too old.
+func (o *Owner[A]) Floor() Millis { return o.floor }
+
 // Cut ends the intervals right after the youngest key that has run, for good,
 // and returns these ends. What follows may be given to others.
 func (o *Owner[A]) Cut() [Shards]Millis {
--- a/core/once/table.go
+++ b/core/once/table.go
@@ -77,16 +77,23 @@
 func (t Table) Plan(me Holder, live []string, now Millis, p Policy) (Table, bool) {
 	changed := false
 	for shard := range t.Shards {
-		r := &t.Shards[shard]
-		if r.wanted(me, Preferred(shard, live) == me.Instance, now, p) {
-			r.take(me, now, p.Length)
+		if t.Shards[shard].Plan(me, Preferred(shard, live) == me.Instance, now, p) {
 			changed = true
 		}
 	}
 	return t, changed
 }
 
-// wanted reports whether the holder should extend or take over the shard.
+// Plan extends or takes over one shard if the holder should, and reports whether
+// it did. preferred says that the shard should belong to the holder.
+func (r *Record) Plan(me Holder, preferred bool, now Millis, p Policy) bool {
+	if !r.wanted(me, preferred, now, p) {
+		return false
+	}
+	r.take(me, now, p.Length)
+	return true
+}
+
 func (r *Record) wanted(me Holder, preferred bool, now Millis, p Policy) bool {
 	left := r.Current.To.Sub(now)
 	switch {
@@ -118,14 +125,16 @@
 func (t Table) Release(me Holder, ends [Shards]Millis) (Table, bool) {
 	changed := false
 	for shard := range t.Shards {
-		if t.Shards[shard].release(me, ends[shard]) {
+		if t.Shards[shard].Release(me, ends[shard]) {
 			changed = true
 		}
 	}
 	return t, changed
 }
 
-func (r *Record) release(me Holder, end Millis) bool {
+// Release moves the end of the holder's claim on one shard back, and reports
+// whether that changed anything.
+func (r *Record) Release(me Holder, end Millis) bool {
 	switch {
 	case r.Current.Holder == me && end < r.Current.To:
 		r.Current.To = max(r.Current.From, end)
