Move the daemon's life and owned requests by embedded state charts

The states of a daemon and of a key at its owner were spread over flags. The edit that releases claims is bounded, so that a slow store doesn't eat the drain time.

--- a/core/once/owner.go
+++ b/core/once/owner.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"fuchsiavane.org/core/chart"
 )
 
 // bucketSpan is the span of birth times that is forgotten together.
@@ -19,23 +21,31 @@
 	Memory time.Duration
 }
 
-// State is what the owner knows of a key that it has seen.
-type State int
-
-// States of a key.
+// States of a key at its owner, as in the chart owned-request.
 const (
 	// Running keys have a run in progress.
-	Running State = iota
+	Running chart.State = "running"
 	// Finished keys ran, and their answer is kept.
-	Finished
+	Finished chart.State = "finished"
 	// Unknown keys ran, or may have run, and no answer is kept.
-	Unknown
+	Unknown chart.State = "unknown"
 )
 
+// Events of the chart owned-request.
+const (
+	eventRun     chart.Event = "run"
+	eventNotRun  chart.Event = "not-run"
+	eventRan     chart.Event = "ran"
+	eventLost    chart.Event = "lost"
+	eventDropped chart.Event = "answer-dropped"
+)
+
+var requestChart = chart.Load("owned-request")
+
 // Entry is a key that the owner has seen. A is what the owner's user keeps with
 // it.
 type Entry[A any] struct {
-	State State
+	State chart.State
 	// Print is the fingerprint of the request that came first.
 	Print uint64
 	// Value is set by the owner's user while Running or Finished.
@@ -143,7 +153,8 @@
 	if o.count >= o.limits.Keys {
 		return Full, nil
 	}
-	e := &Entry[A]{State: Running, Print: print, key: k}
+	e := &Entry[A]{State: requestChart.Initial, Print: print, key: k}
+	e.fire(eventRun)
 	o.add(birth, e)
 	o.latest[shard] = max(o.latest[shard], birth+1)
 	return Run, e
@@ -181,6 +192,9 @@
 // EndNotRun forgets a key that is known not to have run, so that it may run
 // later.
 func (o *Owner[A]) EndNotRun(e *Entry[A]) {
+	if !e.fire(eventNotRun) {
+		return
+	}
 	bucket := o.buckets[e.key.Birth()/bucketSpan]
 	if bucket[e.key] == e {
 		delete(bucket, e.key)
@@ -189,25 +203,38 @@
 }
 
 // EndUnknown marks a key that may have run and whose answer is not kept.
-func (o *Owner[A]) EndUnknown(e *Entry[A]) { e.drop() }
+func (o *Owner[A]) EndUnknown(e *Entry[A]) { e.drop(eventLost) }
 
 // EndKept marks a key that ran and whose answer, of size bytes, is kept in its
 // Value.
 func (o *Owner[A]) EndKept(e *Entry[A], size int) {
-	e.State = Finished
+	if !e.fire(eventRan) {
+		return
+	}
 	e.size = size
 	o.bytes += size
 	o.kept = append(o.kept, e)
 	for o.bytes > o.limits.AnswerBytes {
 		o.bytes -= o.kept[0].size
-		o.kept[0].drop()
+		o.kept[0].drop(eventDropped)
 		o.kept = o.kept[1:]
 	}
 }
 
-func (e *Entry[A]) drop() {
+// drop forgets the answer of a key.
+func (e *Entry[A]) drop(event chart.Event) {
+	if !e.fire(event) {
+		return
+	}
 	var none A
-	e.State, e.Value, e.size = Unknown, none, 0
+	e.Value, e.size = none, 0
+}
+
+// fire moves the key by its chart and reports whether it could.
+func (e *Entry[A]) fire(event chart.Event) bool {
+	to, ok := requestChart.Next(e.State, event)
+	e.State = to
+	return ok
 }
 
 // Forget gives up the keys that are older than the memory. Keys of that age are
@@ -226,7 +253,7 @@
 	}
 	for len(o.kept) > 0 && o.kept[0].key.Birth() < floor {
 		o.bytes -= o.kept[0].size
-		o.kept[0].drop()
+		o.kept[0].drop(eventDropped)
 		o.kept = o.kept[1:]
 	}
 	for shard, held := range o.held {
--- a/node/daemon/daemon.go
+++ b/node/daemon/daemon.go
@@ -53,6 +53,7 @@
 	metrics  *metrics.Metrics
 	ports    *ports
 
+	life      *life
 	drainOnce sync.Once
 	draining  chan struct{} // closed when a planned stop begins
 }
@@ -70,6 +71,7 @@
 		picker:   route.NewPicker(route.Place{Instance: c.InstanceID, Region: c.Region, DataCentre: c.DataCentre}),
 		far:      gateway.NewFarLink(time.Now()),
 		metrics:  metrics.New(),
+		life:     newLife(),
 		draining: make(chan struct{}),
 	}
 	identity := link.Identity{Instance: c.InstanceID, Key: []byte(c.LinkKey)}
@@ -101,8 +103,10 @@
 func (d *Daemon) Run(ctx context.Context) error {
 	var err error
 	if d.ports, err = d.listen(); err != nil {
+		d.life.fire(eventFail)
 		return err
 	}
+	d.life.fire(eventPortsOpen)
 	if d.config.LinkKey == "" {
 		d.log.Log(event.LinksOpen).Msg("no link key is set: links are taken from loopback only")
 	}
@@ -127,7 +131,12 @@
 }
 
 // Drain begins a planned stop.
-func (d *Daemon) Drain() { d.drainOnce.Do(func() { close(d.draining) }) }
+func (d *Daemon) Drain() {
+	d.drainOnce.Do(func() {
+		d.life.fire(eventLeave)
+		close(d.draining)
+	})
+}
 
 func (d *Daemon) tick(ctx context.Context) {
 	ticker := time.NewTicker(tickInterval)
@@ -145,28 +154,17 @@
 var _ admin.Daemon = (*Daemon)(nil)
 
 // Ready implements admin.Daemon.
-func (d *Daemon) Ready() bool {
-	select {
-	case <-d.draining:
-		return false
-	default:
-		return true
-	}
-}
+func (d *Daemon) Ready() bool { return d.life.String() == admin.StateServing }
 
 // WriteMetrics implements admin.Daemon.
 func (d *Daemon) WriteMetrics(w io.Writer) { d.metrics.Write(w) }
 
 // Status implements admin.Daemon.
 func (d *Daemon) Status() admin.Status {
-	life := admin.StateServing
-	if !d.Ready() {
-		life = admin.StateLeaving
-	}
 	running, queued := d.gate.Load()
 	s := admin.Status{
 		Version: Version, Instance: d.config.InstanceID, Service: d.config.Service,
-		Region: d.config.Region, DataCentre: d.config.DataCentre, Life: life,
+		Region: d.config.Region, DataCentre: d.config.DataCentre, Life: d.life.String(),
 		SettingsRevision: d.settings.Current().Revision, Running: running, Queued: queued,
 		RegionLinkShare: d.far.Rate(), Ejected: d.picker.Ejected(time.Now()),
 	}
--- a/node/daemon/drain.go
+++ b/node/daemon/drain.go
@@ -31,7 +31,6 @@
 	duties.Wait()
 	d.releaseClaims(ctx)
 	d.giveNotice(ctx)
-	awaitStragglers(ctx)
 	d.runner.Leave()
 	d.ports.drainCallers(ctx)
 	d.finish(ctx)
@@ -40,6 +39,7 @@
 	d.ports.drainLocal(ctx)
 	d.pool.Close()
 	d.ports.close()
+	d.life.fire(eventFinished)
 	d.log.Log(event.DaemonStopped).Int("cut", cut).Msg("daemon stopped")
 }
 
--- a/node/daemon/once.go
+++ b/node/daemon/once.go
@@ -48,24 +48,16 @@
 // sorted.
 func (d *Daemon) liveOfService() []string { return d.picker.Serving(d.config.Service) }
 
-// stragglerTime is the time for which a leaving daemon still runs keys that are
-// older than the youngest one it has run: nobody else may run them.
-const stragglerTime = 500 * time.Millisecond
+// releaseTimeout bounds the edit that gives the claims up.
+const releaseTimeout = 2 * time.Second
 
 // releaseClaims gives the claims up before the peers learn that this daemon
-// leaves, so that they take over at once.
+// leaves, so that they take over at once. Keys older than the youngest one that
+// it has run stay its own, and it runs them until it refuses new work.
 func (d *Daemon) releaseClaims(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
+	defer cancel()
 	if err := d.keeper.Leave(ctx); err != nil {
 		d.log.Log(event.ClaimsNotReleased).Err(err).Msg("claims not released")
 	}
 }
-
-// awaitStragglers waits while keys that only this daemon may run still arrive.
-func awaitStragglers(ctx context.Context) {
-	timer := time.NewTimer(stragglerTime)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
