--- a/lab/scenario/commands_test.go
+++ b/lab/scenario/commands_test.go
@@ -35,6 +35,8 @@
 	"runs":     countRuns,
 	"exits":    exits,
 	"race":     race,
+	"parallel": parallel,
+	"send":     sendBytes,
 }
 
 func startPlatform(ts *testscript.TestScript, _ bool, _ []string) {
@@ -197,9 +199,17 @@
 	return string(body)
 }
 
+// logLimit bounds the wait for a line of a log.
+const logLimit = 5 * time.Second
+
 func matchLog(ts *testscript.TestScript, neg bool, args []string) {
-	output := worldOf(ts).process(ts, args[0]).output.String()
-	if regexp.MustCompile(args[1]).MatchString(output) == neg {
+	p := worldOf(ts).process(ts, args[0])
+	pattern := regexp.MustCompile(args[1])
+	end := time.Now().Add(logLimit)
+	for !neg && !pattern.MatchString(p.output.String()) && time.Now().Before(end) {
+		time.Sleep(pollInterval)
+	}
+	if output := p.output.String(); pattern.MatchString(output) == neg {
 		ts.Fatalf("log of %s (match wanted: %v) %q:\n%s", args[0], !neg, args[1], output)
 	}
 }
--- a/lab/scenario/flood_test.go
+++ b/lab/scenario/flood_test.go
@@ -1,6 +1,7 @@
 package scenario
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -8,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/google/uuid"
@@ -36,20 +38,25 @@
 	end := time.Now().Add(length)
 	for range callers {
 		request := newRequest(ts, args, flags, headers)
-		l.group.Go(func() { l.caller(worldOf(ts), request, end) })
+		l.group.Go(func() { l.caller(worldOf(ts), request, end, flags["until"] == "told") })
 	}
 	return l
 }
 
-func (l *load) caller(w *world, request *http.Request, end time.Time) {
-	for time.Now().Before(end) {
+// caller calls in a loop. With untilTold it ends when an answer closes its
+// connection, as a leaving daemon's do.
+func (l *load) caller(w *world, request *http.Request, end time.Time, untilTold bool) {
+	for first := true; first || time.Now().Before(end); first = false {
 		one := request.Clone(request.Context())
 		one.Header.Set("Idempotency-Key", uuid.Must(uuid.NewV7()).String())
-		result := sendOne(one)
+		result, told := sendOne(one)
 		w.note(one, result)
 		l.mu.Lock()
 		l.counts[result]++
 		l.mu.Unlock()
+		if told && untilTold {
+			return
+		}
 	}
 }
 
@@ -85,15 +92,19 @@
 	w.load = nil
 }
 
-// sendOne makes one call and returns its status and outcome.
-func sendOne(request *http.Request) string {
+// sendOne makes one call and returns its status and outcome, and whether the
+// answer closed the connection.
+func sendOne(request *http.Request) (result string, told bool) {
 	response, err := http.DefaultClient.Do(request)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return "refused", false
+	}
 	if err != nil {
-		return "error"
+		return "error", false
 	}
 	defer response.Body.Close()
 	if _, err := io.Copy(io.Discard, response.Body); err != nil {
-		return "cut"
+		return "cut", false
 	}
-	return fmt.Sprintf("%d %s", response.StatusCode, response.Header.Get("Fuchsiavane-Outcome"))
+	return fmt.Sprintf("%d %s", response.StatusCode, response.Header.Get("Fuchsiavane-Outcome")), response.Close
 }
--- a/node/daemon/ports.go
+++ b/node/daemon/ports.go
@@ -33,7 +33,7 @@
 // port is one listening HTTP server.
 type port struct {
 	name     string
-	listener net.Listener
+	listener *listener
 	server   *http.Server
 }
 
@@ -71,11 +71,11 @@
 }
 
 func open(name, addr string, handler http.Handler) (*port, error) {
-	listener, err := net.Listen("tcp", addr)
+	tcp, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, errors.Wrapf(err, "%s port", name)
 	}
-	return &port{name, listener, &http.Server{
+	return &port{name, newListener(tcp), &http.Server{
 		Handler:           handler,
 		ReadHeaderTimeout: readHeaderTimeout,
 		ReadTimeout:       readTimeout,
@@ -112,9 +112,10 @@
 // answer, so that callers go elsewhere without losing a request.
 func (p *ports) closeAfterAnswer() { p.leaving.Store(true) }
 
-// drainCallers closes the caller port to new work and waits for what it has in
-// progress. The local port serves on, since running requests use it.
+// drainCallers closes the caller port, at a moment in which no connection is
+// being opened, and waits for what it has in progress. The local port serves on, since running requests use it.
 func (p *ports) drainCallers(ctx context.Context) {
+	p.caller.listener.awaitQuiet(ctx)
 	_ = p.caller.server.Shutdown(ctx)
 }
 
