--- a/node/daemon/daemon.go
+++ b/node/daemon/daemon.go
@@ -88,6 +88,8 @@
 	d.metrics.Gauge("fuchsiavane_running", func() float64 { running, _ := d.gate.Load(); return float64(running) })
 	d.linkMetrics()
 	d.metrics.Gauge("fuchsiavane_queued", func() float64 { _, queued := d.gate.Load(); return float64(queued) })
+	d.metrics.Gauge("fuchsiavane_limit", func() float64 { return float64(d.gate.Limit()) })
+	d.metrics.Gauge("fuchsiavane_refused_part", d.gate.RefusedPart)
 	return d, nil
 }
 
--- a/node/gateway/levels.go
+++ b/node/gateway/levels.go
@@ -30,7 +30,7 @@
 	answer := g.Call(p.ctx, p.request, &p.values, p.budget)
 	g.levels.learn(time.Now(), p.request, answer)
 	if p.parent != nil {
-		p.parent.Child(answer.Level, answer.Refusal != call.RefusedNone)
+		p.parent.Child(g.levels.of(time.Now(), p.request, answer), answer.Refusal != call.RefusedNone)
 	}
 	return answer
 }
@@ -61,6 +61,17 @@
 	l.view.Learn(now, keyOf(r), a.Level)
 }
 
+// of returns the level that an answer stands for: its own, or the one in force if
+// the answer never reached a daemon at an upstream.
+func (l *levels) of(now time.Time, r *call.Request, a *call.Answer) level.Level {
+	if carriesLevel(a) {
+		return a.Level
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.view.Level(now, keyOf(r))
+}
+
 func carriesLevel(a *call.Answer) bool {
 	return a.Outcome == call.Ran || a.Level > 0
 }
--- a/node/upstream/gate.go
+++ b/node/upstream/gate.go
@@ -171,6 +171,19 @@
 	return g.controller.Limit(time.Now())
 }
 
+// RefusedPart returns the part of the requests of the worst rank that the levels
+// of this upstream refuse.
+func (g *Gate) RefusedPart() float64 {
+	ranks := len(g.settings.Current().Document.Ranks())
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	worst := level.Level(0)
+	for rank := range max(ranks, 1) {
+		worst = max(worst, g.controller.Level(rank))
+	}
+	return 1 - level.Pass(worst)
+}
+
 // deliver hands grants to those who wait. The caller holds the lock.
 func (g *Gate) deliver(grants []admission.Grant) {
 	for _, grant := range grants {
--- /dev/null
+++ b/node/upstream/gate_test.go
@@ -0,0 +1,131 @@
+package upstream
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"fuchsiavane.org/node/call"
+	"fuchsiavane.org/node/edit"
+	"fuchsiavane.org/node/settingsync"
+)
+
+func holderOf(t *testing.T, document string) *settingsync.Holder {
+	t.Helper()
+	holder := settingsync.NewHolder()
+	head := edit.Head{Document: []byte(document)}
+	head.Revision = 1
+	if _, findings := holder.Offer(head); len(findings) > 0 {
+		t.Fatal(findings)
+	}
+	return holder
+}
+
+// ticking calls Tick as the daemon's duty does, until stop is called.
+func ticking(g *Gate) (stop func()) {
+	done := make(chan struct{})
+	go func() {
+		ticker := time.NewTicker(5 * time.Millisecond)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-done:
+				return
+			case now := <-ticker.C:
+				g.Tick(now)
+			}
+		}
+	}()
+	return func() { close(done) }
+}
+
+func requestOf(id, rank string) *call.Request {
+	return &call.Request{ID: id, Service: "bench", Rank: rank, Caller: "club", Deadline: time.Now().Add(time.Second)}
+}
+
+func TestCancelledRequestLeavesTheQueue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		g := NewGate("bench", holderOf(t, `{"settings": {"slots": 1, "slow_start_ms": 0, "queue_ms": 500}}`))
+		pass, refusal := g.Enter(t.Context(), requestOf("1", ""))
+		is.True(refusal == nil)
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Millisecond)
+		defer cancel()
+		_, refusal = g.Enter(ctx, requestOf("2", ""))
+		is.Equal(refusal.Refusal, call.RefusedCancelled)
+		is.Equal(refusal.Outcome, call.NotRun)
+		running, queued := g.Load()
+		is.Equal(running, 1)
+		is.Equal(queued, 0)
+		pass.Leave(EndAnswered)
+		running, _ = g.Load()
+		is.Equal(running, 0)
+	})
+}
+
+func TestRefusalSaysWhenToComeBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		g := NewGate("bench", holderOf(t, `{"settings": {"slots": 1, "slow_start_ms": 0, "queue_ms": 20}}`))
+		stop := ticking(g)
+		defer stop()
+		pass, _ := g.Enter(t.Context(), requestOf("1", ""))
+		defer pass.Leave(EndAnswered)
+		_, refusal := g.Enter(t.Context(), requestOf("2", ""))
+		is.Equal(refusal.Refusal, call.RefusedOverload)
+		is.True(refusal.RetryAfter >= time.Second)
+		is.True(refusal.RetryAfter <= 30*time.Second)
+	})
+}
+
+// The shares of the ranks follow the setting hours, without a new revision.
+func TestSharesFollowTheHours(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		// The virtual clock begins at midnight UTC.
+		g := NewGate("bench", holderOf(t, `{
+			"settings": {"slots": 4, "slow_start_ms": 0, "queue_ms": 200, "hours": [
+				{"from": "00:01", "to": "00:10", "shares": {"bulk": 0.5}}]},
+			"ranks": [{"name": "lookup", "share": 0.1}, {"name": "bulk", "share": 0}]}`))
+		stop := ticking(g)
+		defer stop()
+		is.True(bulkInAFlood(t, g) < 0.1)
+		time.Sleep(2 * time.Minute)
+		is.True(bulkInAFlood(t, g) >= 0.5)
+	})
+}
+
+// bulkInAFlood returns the part of the capacity that bulk gets while both ranks
+// ask for all of it.
+func bulkInAFlood(t *testing.T, g *Gate) float64 {
+	const work, length = 20 * time.Millisecond, 10 * time.Second
+	var mu sync.Mutex
+	done := map[string]int{}
+	var group sync.WaitGroup
+	end := time.Now().Add(length)
+	for _, rank := range []string{"lookup", "bulk"} {
+		for caller := range 10 {
+			group.Go(func() {
+				for i := 0; time.Now().Before(end); i++ {
+					pass, refusal := g.Enter(t.Context(), requestOf(fmt.Sprint(rank, caller, i), rank))
+					if refusal != nil {
+						time.Sleep(5 * time.Millisecond)
+						continue
+					}
+					time.Sleep(work)
+					pass.Leave(EndAnswered)
+					mu.Lock()
+					done[rank]++
+					mu.Unlock()
+				}
+			})
+		}
+	}
+	group.Wait()
+	return float64(done["bulk"]) * work.Seconds() / (4 * length.Seconds())
+}
