Remember what a rank borrowed, so that protected work gets the rest

Cause: in a 4-deep chain at 3x, rulings were 45% of the deepest capacity and could have had all of it, but lookups took their whole floor in each burst of rulings after having borrowed in each lull, and kept 0.469 for a share of 0.4. And when a service slowed 5x, the check of a cut took as many samples as if it were fast, and the limit stayed low for seconds.

Change: a rank is owed by its account alone, which remembers 300 ms of borrowing; a floor's margin grows with the square root of its slots; a settling window lasts as long as a run and no longer, and a cut is smaller.

--- a/core/admission/share.go
+++ b/core/admission/share.go
@@ -17,9 +17,11 @@
 	leastDemand = 0.05
 	// creditTime is the time for which a rank's floor is made up later.
 	creditTime = time.Second
-	// floorMargin is what a floor is made larger by in the account, so that chance
-	// in the length of runs doesn't bring a rank below it.
-	floorMargin = 1.05
+	// debtTime is the time for which borrowing beyond a floor is remembered.
+	debtTime = 300 * time.Millisecond
+	// marginFactor is what a floor is made larger by in the account, in square
+	// roots of its slots, so that chance doesn't bring a rank below it.
+	marginFactor = 0.08
 	// idleHalving is the time in which a deficit halves while a rank has no demand.
 	idleHalving = 200 * time.Millisecond
 	// spareFactor is the load, in square roots of the slots of a floor, that is let
@@ -113,8 +115,8 @@
 func (c *Controller) account(now time.Time, i int, floor float64, elapsed time.Duration) {
 	k := c.ranks[i]
 	// What was borrowed is forgotten, but for the run that a part of a slot pays.
-	debt := 2 * k.service.estimate(now).Seconds()
-	k.deficit += (floorMargin*floor - float64(k.running)) * elapsed.Seconds()
+	debt := max(2*k.service.estimate(now).Seconds(), floor*debtTime.Seconds())
+	k.deficit += (floor + marginFactor*math.Sqrt(floor) - float64(k.running)) * elapsed.Seconds()
 	k.deficit = min(max(k.deficit, -debt), credit(floor))
 	if k.queued == 0 && !c.meter.Refusing(i) {
 		k.deficit *= math.Exp2(-float64(elapsed) / float64(idleHalving))
@@ -215,7 +217,7 @@
 		if k.queued == 0 || floor == 0 {
 			continue
 		}
-		owed := float64(k.running+1) <= floor || k.owed(floor)
+		owed := k.owed(floor)
 		if part := float64(k.running) / floor; owed && part < least {
 			best, least = i, part
 		}
--- a/core/limit/limit.go
+++ b/core/limit/limit.go
@@ -26,7 +26,7 @@
 	fewSamples = 5
 	// leastCut and mostCut bound one cut of the limit. A smaller cut could not be
 	// judged by its effect.
-	leastCut = 0.5
+	leastCut = 0.6
 	mostCut  = 0.65
 	// growth is the rise of a limit that binds, per window.
 	growth = 0.1
@@ -184,7 +184,7 @@
 	if l.window.refused >= fewSamples && age >= windowTime {
 		return true
 	}
-	return age >= l.window.least && l.window.samples >= windowSamples
+	return age >= l.window.least && (l.window.settling || l.window.samples >= windowSamples)
 }
 
 func (l *Limiter) open(now time.Time, settling bool) {
