--- a/node/daemon/fleet_test.go
+++ b/node/daemon/fleet_test.go
@@ -88,6 +88,14 @@
 	return f
 }
 
+// apply makes another document the settings in force.
+func (f *fleet) apply(t *testing.T, document string) {
+	daemontest.Apply(t, f.store, document)
+	for _, instance := range f.instances {
+		instance.AwaitPeers(2)
+	}
+}
+
 func (f *fleet) awaitOwners(t *testing.T) {
 	for end := time.Now().Add(ownersLimit); ; time.Sleep(20 * time.Millisecond) {
 		owned := 0
--- a/node/once/keeper.go
+++ b/node/once/keeper.go
@@ -30,6 +30,9 @@
 	// startPause is the time between the start and the first claims, in which
 	// the live instances become known.
 	startPause = 2 * time.Second
+	// maxStagger bounds the random delay of a renewal, so that the instances of a
+	// service, which started together, don't edit the table together.
+	maxStagger = time.Minute
 	// settleTime is the time after which the table is read once more when the
 	// set of live instances has changed, to see what the others took.
 	settleTime = 2 * time.Second
@@ -86,8 +89,9 @@
 	trouble  time.Time
 	next     time.Time // no refresh before
 	pause    time.Duration
-	failing  bool      // the last refresh failed
-	settle   time.Time // one more refresh at this time, unless zero
+	failing  bool          // the last refresh failed
+	stagger  time.Duration // delay of the next renewal
+	settle   time.Time     // one more refresh at this time, unless zero
 	counters Counters
 }
 
@@ -192,7 +196,7 @@
 		return true
 	}
 	settled := !k.settle.IsZero() && !now.Before(k.settle)
-	return k.asked || settled || k.table.Due(k.me, core.MillisOf(now), k.policy(now))
+	return k.asked || settled || k.table.Due(k.me, core.MillisOf(now.Add(-k.stagger)), k.policy(now))
 }
 
 // slow sets the pause after a refresh. The caller holds the lock.
@@ -202,6 +206,7 @@
 		k.pause = refreshPause
 	}
 	k.next = now.Add(k.pause)
+	k.stagger = rand.N(maxStagger)
 	if !now.Before(k.settle) {
 		k.settle = time.Time{}
 	}
--- a/node/once/once_test.go
+++ b/node/once/once_test.go
@@ -272,7 +272,8 @@
 			is.Equal(serveAnywhere(t, all["a"], all, key).Status, 201)
 		}
 		// A crash: keys of its claims are unknown, never run, until these end.
-		all["b"].stop()
+		paused := all["b"]
+		paused.stop() // its duty stands still; it goes on serving what comes
 		delete(all, "b")
 		f.setLive("a")
 		time.Sleep(5 * time.Second)
@@ -290,6 +291,12 @@
 		for range 300 {
 			is.Equal(serveAnywhere(t, all["a"], all, newKey()).Status, 201)
 		}
+		// The one that was paused past the end of its claims runs nothing younger.
+		for range 300 {
+			key := newKey()
+			is.True(paused.Serve(t.Context(), request(key)).Outcome != call.Ran)
+			is.Equal(f.upstream.runs[key], 0)
+		}
 		for _, n := range f.upstream.runs {
 			is.Equal(n, 1)
 		}
@@ -303,3 +310,46 @@
 		}
 	})
 }
+
+// TestStoreCallsInNormalRunning counts the calls of a service's instances over
+// hours of virtual time, rulings included.
+func TestStoreCallsInNormalRunning(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const (
+			instances = 18 // 9,800 servers in 550 services
+			hours     = 2
+			rulings   = 100
+		)
+		var ids []string
+		for i := range instances {
+			ids = append(ids, string(rune('a'+i)))
+		}
+		f := newFleet(ids...)
+		all := map[string]*instance{}
+		for _, id := range ids {
+			all[id] = f.start(t, id)
+		}
+		time.Sleep(time.Minute)
+		count := func() (reads, writes uint64) {
+			for _, one := range all {
+				s := one.keeper.Status()
+				reads += s.Reads
+				writes += s.Writes
+			}
+			return reads, writes
+		}
+		startReads, startWrites := count()
+		for range rulings {
+			time.Sleep(hours * time.Hour / rulings)
+			is.Equal(serveAnywhere(t, all["a"], all, newKey()).Status, 201)
+		}
+		reads, writes := count()
+		reads, writes = reads-startReads, writes-startWrites
+		perMinute := float64(reads+writes) / instances / hours / 60
+		t.Logf("start: %d reads, %d writes; then in %d h: %d reads, %d writes; %.3f calls per instance-minute, %.3f per shard-hour, %.2f writes/s and %.2f reads/s for 9,800",
+			startReads, startWrites, hours, reads, writes, perMinute, float64(reads+writes)/core.Shards/hours,
+			float64(writes)/instances/hours/3600*9800, float64(reads)/instances/hours/3600*9800)
+		is.True(perMinute < 1) // the target: less than one call per daemon and minute
+	})
+}
