Shorten the memory of owners at its bound before refusing keys

At 200,000 keys an owner refused every new one, so a flood of rulings within the memory of 20 minutes stopped all that followed. It now gives up its oldest keys, which are refused as unknown from then on, down to 2 minutes. The bound is halved so that memory stays well within 64 MB.

--- a/core/once/once_test.go
+++ b/core/once/once_test.go
@@ -156,6 +156,35 @@
 	is.Equal(verdict, TooOld)
 }
 
+func TestMemoryBecomesShorterBeforeKeysAreRefused(t *testing.T) {
+	is := is.New(t)
+	o := NewOwner[int](Limits{Keys: 2, AnswerBytes: 10, Memory: time.Hour})
+	var claims [Shards]Interval
+	claims[1] = Interval{0, 1 << 40}
+	o.Hold(claims)
+	for _, c := range []struct {
+		now, birth Millis
+		want       Verdict
+	}{
+		{60_000, 60_000, Run},
+		{130_000, 130_000, Run},
+		{130_000, 130_001, Full},  // the oldest is younger than minMemory
+		{300_000, 300_000, Run},   // the first minute is given up
+		{300_000, 60_000, TooOld}, // and doesn't run again
+		{300_000, 900_000, Run},   // the third too
+		{300_000, 130_000, TooOld},
+		{300_000, 900_001, Full}, // keys from the future don't push out those of now
+		{300_000, 300_000, Repeat},
+	} {
+		o.Forget(c.now)
+		verdict, e := o.Arrive(keyIn(1, c.birth), 1)
+		is.Equal(verdict, c.want)
+		if verdict == Run {
+			o.EndUnknown(e)
+		}
+	}
+}
+
 func TestHandOver(t *testing.T) {
 	is := is.New(t)
 	policy := Policy{Length: 900 * time.Millisecond}
--- a/core/once/owner.go
+++ b/core/once/owner.go
@@ -10,9 +10,13 @@
 // bucketSpan is the span of birth times that is forgotten together.
 const bucketSpan = Millis(60_000)
 
+// minMemory is the age up to which keys are remembered in any case.
+const minMemory = 2 * time.Minute
+
 // Limits bound what an Owner remembers.
 type Limits struct {
-	// Keys bounds the keys remembered. At the bound new keys are refused.
+	// Keys bounds the keys remembered. At the bound the memory becomes shorter,
+	// down to minMemory; below that new keys are refused.
 	Keys int
 	// AnswerBytes bounds the answers kept, all together. At the bound the
 	// oldest answers go; their keys stay.
@@ -85,6 +89,7 @@
 	latest  [Shards]Millis // birth of the youngest key run, by shard, plus 1
 	cut     bool
 	floor   Millis
+	now     Millis // as of the last Forget
 	count   int
 	bytes   int
 	buckets map[Millis]map[Key]*Entry[A]
@@ -150,7 +155,7 @@
 	if e := o.buckets[birth/bucketSpan][k]; e != nil {
 		return e.verdict(print), e
 	}
-	if o.count >= o.limits.Keys {
+	if o.count >= o.limits.Keys && !o.shorten(birth) {
 		return Full, nil
 	}
 	e := &Entry[A]{State: requestChart.Initial, Print: print, key: k}
@@ -240,7 +245,27 @@
 // Forget gives up the keys that are older than the memory. Keys of that age are
 // refused from now on.
 func (o *Owner[A]) Forget(now Millis) {
-	floor := now.Add(-o.limits.Memory) / bucketSpan * bucketSpan
+	o.now = max(o.now, now)
+	o.raise(now.Add(-o.limits.Memory) / bucketSpan * bucketSpan)
+}
+
+// shorten gives up the oldest keys to make room for one that is born then, and
+// reports whether there is room now.
+func (o *Owner[A]) shorten(birth Millis) bool {
+	oldest := birth / bucketSpan
+	for at := range o.buckets {
+		oldest = min(oldest, at)
+	}
+	floor := (oldest + 1) * bucketSpan
+	if floor > birth || floor > o.now.Add(-minMemory) {
+		return false
+	}
+	o.raise(floor)
+	return o.count < o.limits.Keys
+}
+
+// raise gives up the keys that are born before a floor.
+func (o *Owner[A]) raise(floor Millis) {
 	if floor <= o.floor {
 		return
 	}
--- a/node/once/keeper.go
+++ b/node/once/keeper.go
@@ -66,8 +66,8 @@
 const (
 	DefaultLength         = 15 * time.Minute
 	DefaultTroubledLength = time.Hour
-	DefaultKeys           = 200_000
-	DefaultAnswerBytes    = 16 << 20
+	DefaultKeys           = 100_000
+	DefaultAnswerBytes    = 8 << 20
 	DefaultMemory         = 20 * time.Minute
 )
 
