Measure what control costs; prove membership and settings through real ports

Change: lab/cmd/control measures quiet fleets, replacements, crashes, ends of partitions, spread of a revision, and real daemons. The end of an unreachable time is announced at once; much news is followed by a few quick digests; relays compare every 2.5 s without contacts, which are of no use there. Tests drive the duties by real ports, and watchers through a long outage under virtual time.

--- a/core/member/gossip.go
+++ b/core/member/gossip.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 )
 
 // gossip sends rumours and the settings revision while there is something new.
@@ -143,7 +144,7 @@
 
 // compareSoon asks some members for a comparison now, and once more shortly.
 func (m *Member) compareSoon() []Outgoing {
-	m.schedule.digest = min(m.schedule.digest, m.now+m.jitter(digestSoon))
+	m.hurry()
 	var out []Outgoing
 	for _, e := range m.sample(m.peersHere(), gossipFanout) {
 		out = append(out, m.digest(e.Addr))
@@ -151,6 +152,23 @@
 	return out
 }
 
+// hurry lets some digests follow quickly, so that whoever missed a rumour while
+// there was much news learns it soon.
+func (m *Member) hurry() {
+	m.soon = digestsSoon
+	m.schedule.digest = min(m.schedule.digest, m.now+m.jitter(digestSoon))
+}
+
+// digestPause returns the mean pause until the next digest.
+func (m *Member) digestPause() time.Duration {
+	m.merged = 0
+	if m.soon == 0 {
+		return digestInterval
+	}
+	m.soon--
+	return digestSoon
+}
+
 func sortEntries(list []*entry) {
 	slices.SortFunc(list, func(a, b *entry) int { return cmp.Compare(a.ID, b.ID) })
 }
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -20,6 +20,9 @@
 	forward []string
 	// newest is the highest settings revision heard of, and who told it.
 	newest Newest
+	// merged counts the news since the last digest, and soon the digests that
+	// still follow quickly because there was much.
+	merged, soon int
 	// announce counts the rounds in which the own revision is still told.
 	announce int
 
@@ -83,7 +86,7 @@
 		out = append(out, m.gossip()...)
 	}
 	if m.now >= m.schedule.digest {
-		m.schedule.digest = m.now + m.jitter(digestInterval)
+		m.schedule.digest = m.now + m.jitter(m.digestPause())
 		out = append(out, m.digestTo(m.random1(m.peersHere()))...)
 	}
 	if m.now >= m.schedule.relay {
@@ -301,11 +304,15 @@
 	return list[:n:n]
 }
 
-// message returns a message with the sender's part set.
+// message returns a message with the sender's part set. Messages that go to
+// other data centres carry no contacts: those are of this one.
 func (m *Member) message(kind Kind) Message {
-	return Message{
+	message := Message{
 		Kind: kind, From: m.self.ID, FromDataCentre: m.self.DataCentre,
 		Incarnation: m.self.Incarnation, Revision: m.self.Revision, Level: m.self.Level,
-		Contacts: m.contacts(),
 	}
+	if kind <= KindGossip {
+		message.Contacts = m.contacts()
+	}
+	return message
 }
--- a/core/member/receive.go
+++ b/core/member/receive.go
@@ -92,6 +92,9 @@
 
 // take puts news into the view.
 func (m *Member) take(r *Record) {
+	if m.merged++; m.merged == manyChanges {
+		m.hurry()
+	}
 	holder := m.view.byAddr[r.Addr]
 	e := m.view.put(*r, m.now)
 	e.suspectUntil = m.now + suspectTimeout
--- a/core/member/relay.go
+++ b/core/member/relay.go
@@ -108,6 +108,7 @@
 		}
 		if e := m.relayIn(name); e != nil {
 			message := m.message(KindGossip)
+			message.Contacts = nil
 			message.Rumours = records
 			out = append(out, Outgoing{To: e.Addr, Message: message})
 		}
@@ -136,10 +137,23 @@
 // contacted notes an answer from a data centre.
 func (m *Member) contacted(name string) {
 	if d := m.view.centres[name]; d != nil {
-		d.contact = m.now
+		m.reached(name, d, m.now)
 	}
 }
 
+// reached notes a contact. The end of a partition is told at once.
+func (m *Member) reached(name string, d *dataCentre, at time.Duration) {
+	d.contact = max(d.contact, at)
+	if !d.unreachable || m.now-d.contact > unreachableAfter {
+		return
+	}
+	d.unreachable = false
+	m.view.version++
+	m.event(EventReachable, name)
+	m.announce = announceRounds
+	m.schedule.gossip = m.now
+}
+
 // contacts returns the ages of contacts for a message.
 func (m *Member) contacts() []Contact {
 	if len(m.view.centres) < 2 {
@@ -161,27 +175,23 @@
 // member of another data centre reaches says nothing of what this one does.
 func (m *Member) hearContacts(contacts []Contact) {
 	for _, c := range contacts {
-		if d := m.view.byHash[c.DataCentre]; d != nil {
-			d.contact = max(d.contact, m.now-time.Duration(c.Age)*ageUnit)
+		name := m.view.byHash[c.DataCentre]
+		if d := m.view.centres[name]; d != nil {
+			m.reached(name, d, m.now-time.Duration(c.Age)*ageUnit)
 		}
 	}
 }
 
-// judgeCentres tells which data centres stopped or began to answer.
+// judgeCentres tells which data centres stopped answering.
 func (m *Member) judgeCentres() {
 	for _, name := range m.otherCentres() {
 		d := m.view.centres[name]
-		unreachable := m.now-d.contact > unreachableAfter
-		if unreachable == d.unreachable {
+		if d.unreachable || m.now-d.contact <= unreachableAfter {
 			continue
 		}
-		d.unreachable = unreachable
+		d.unreachable = true
 		m.view.version++
-		kind := EventReachable
-		if unreachable {
-			kind = EventUnreachable
-		}
-		m.event(kind, name)
+		m.event(EventUnreachable, name)
 	}
 }
 
--- a/core/member/timing.go
+++ b/core/member/timing.go
@@ -34,11 +34,14 @@
 	digestInterval = 10 * time.Second
 	// digestSoon is that pause after an exchange that changed much.
 	digestSoon = time.Second
-	// manyChanges is the changed records of one exchange that count as much.
+	// digestsSoon is how many digests then follow quickly.
+	digestsSoon = 4
+	// manyChanges is the changed records, of one exchange or between two
+	// digests, that count as much.
 	manyChanges = 16
 	// relayInterval is the pause between the digests that a relay sends to
 	// each other data centre.
-	relayInterval = 2 * time.Second
+	relayInterval = 2500 * time.Millisecond
 	// Relays is the number of relays of a data centre.
 	Relays = 3
 	// relayPatience is the silence of a data centre after which relays try
--- a/core/member/view.go
+++ b/core/member/view.go
@@ -68,7 +68,7 @@
 	// byAddr finds the live member at an address.
 	byAddr map[string]*entry
 	// byHash finds a data centre by the hash that contacts use.
-	byHash map[uint32]*dataCentre
+	byHash map[uint32]string
 	// version counts changes that routing may care about.
 	version uint64
 }
@@ -79,7 +79,7 @@
 		centres:  map[string]*dataCentre{},
 		suspects: map[string]*entry{},
 		byAddr:   map[string]*entry{},
-		byHash:   map[uint32]*dataCentre{},
+		byHash:   map[uint32]string{},
 	}
 }
 
@@ -90,7 +90,7 @@
 	if d == nil {
 		d = &dataCentre{members: map[string]*entry{}, contact: now}
 		v.centres[name] = d
-		v.byHash[centreHash(name)] = d
+		v.byHash[centreHash(name)] = name
 	}
 	return d
 }
--- /dev/null
+++ b/lab/control/real.go
@@ -0,0 +1,146 @@
+package control
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os/exec"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"fuchsiavane.org/lab/platformsim"
+	"fuchsiavane.org/node/freeport"
+	"fuchsiavane.org/node/platform/memstore"
+)
+
+const (
+	// realSettle is given to real daemons before they are measured.
+	realSettle = 30 * time.Second
+	// realTime is how long they are measured.
+	realTime = 30 * time.Second
+)
+
+// Real is what an idle real daemon costs, all its duties included.
+type Real struct {
+	Daemons int
+	// BytesPerSecond is sent and received by membership.
+	BytesPerSecond, MessagesPerSecond float64
+	// Core is the part of a processor core of the whole process.
+	Core float64
+	// ResidentBytes is the memory of the whole process.
+	ResidentBytes float64
+	// StoreCallsPerSecond is of all daemons together, a waiting watch as one.
+	StoreCallsPerSecond float64
+}
+
+// MeasureReal runs daemons of a binary in two data centres and measures them.
+func MeasureReal(binary string, n int) (Real, error) {
+	sim := platformsim.New(memstore.New())
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return Real{}, errors.WithStack(err)
+	}
+	store := &http.Server{Handler: sim, ReadHeaderTimeout: time.Second}
+	go func() { _ = store.Serve(listener) }()
+	defer store.Close()
+	daemons := &processes{}
+	defer daemons.stop()
+	for i := range n {
+		if err := daemons.start(binary, i, "http://"+listener.Addr().String()); err != nil {
+			return Real{}, err
+		}
+	}
+	time.Sleep(realSettle)
+	return daemons.measure(sim)
+}
+
+// processes are the daemons started, with their admin addresses.
+type processes struct {
+	commands []*exec.Cmd
+	admins   []string
+}
+
+func (p *processes) start(binary string, i int, platform string) error {
+	addrs, err := freeport.Addrs(4)
+	if err != nil {
+		return err
+	}
+	place := []string{"south", "north"}[i%2]
+	command := exec.Command(binary,
+		"-instance-id", fmt.Sprintf("i%02d", i), "-service", fmt.Sprintf("service-%d", i%4),
+		"-region", place, "-data-centre", place+"-1", "-link-key", "measured",
+		"-caller-listen", addrs[0], "-local-listen", addrs[1], "-peer-listen", addrs[2], "-admin-listen", addrs[3],
+		"-upstream", "http://127.0.0.1:9", "-platform", platform, "-log-level", "error")
+	if err := command.Start(); err != nil {
+		return errors.WithStack(err)
+	}
+	p.commands = append(p.commands, command)
+	p.admins = append(p.admins, addrs[3])
+	return nil
+}
+
+// stop ends the daemons at once: their planned stop is not measured.
+func (p *processes) stop() {
+	for _, command := range p.commands {
+		_ = command.Process.Signal(syscall.SIGKILL)
+	}
+	for _, command := range p.commands {
+		_ = command.Wait()
+	}
+}
+
+func (p *processes) measure(sim *platformsim.Server) (Real, error) {
+	before, err := p.sum()
+	if err != nil {
+		return Real{}, err
+	}
+	calls := sim.Stats()
+	start := time.Now()
+	time.Sleep(realTime)
+	after, err := p.sum()
+	if err != nil {
+		return Real{}, err
+	}
+	seconds, n := time.Since(start).Seconds(), float64(len(p.admins))
+	now := sim.Stats()
+	per := func(name string) float64 { return (after[name] - before[name]) / seconds / n }
+	return Real{
+		Daemons:             len(p.admins),
+		BytesPerSecond:      per("fuchsiavane_member_sent_bytes_total") + per("fuchsiavane_member_received_bytes_total"),
+		MessagesPerSecond:   per("fuchsiavane_member_sent_total") + per("fuchsiavane_member_received_total"),
+		Core:                per("process_cpu_seconds_total"),
+		ResidentBytes:       after["process_resident_memory_bytes"] / n,
+		StoreCallsPerSecond: float64(now.Reads+now.Writes+now.Watches-calls.Reads-calls.Writes-calls.Watches) / seconds,
+	}, nil
+}
+
+// sum adds up the metrics of all daemons by name.
+func (p *processes) sum() (map[string]float64, error) {
+	sums := map[string]float64{}
+	for _, admin := range p.admins {
+		response, err := http.Get("http://" + admin + "/metrics")
+		if err != nil {
+			return nil, errors.Wrap(err, "metrics")
+		}
+		addMetrics(sums, response.Body)
+		_ = response.Body.Close()
+	}
+	return sums, nil
+}
+
+func addMetrics(sums map[string]float64, body io.Reader) {
+	lines := bufio.NewScanner(body)
+	for lines.Scan() {
+		name, value, found := strings.Cut(lines.Text(), " ")
+		number, err := strconv.ParseFloat(value, 64)
+		if found && err == nil {
+			sums[name] += number
+		}
+	}
+}
--- /dev/null
+++ b/lab/control/report.go
@@ -0,0 +1,145 @@
+package control
+
+import (
+	"fmt"
+	"io"
+	"math"
+	"time"
+)
+
+// Fleet is the size that figures are worked out for.
+const (
+	fleetCentres      = 7
+	fleetPerCentre    = 1400
+	replacementsADay  = 1100
+	failuresADay      = 35
+	secondsPerDay     = 86400
+	measuredCentres   = 7
+	measuredInCentres = 36
+	replacements      = 14
+)
+
+// sizes are the members of one data centre that are measured.
+var sizes = []int{16, 64, 256}
+
+// PrintVirtual measures the state machines and prints tables.
+func PrintVirtual(w io.Writer, seed uint64) {
+	quiet := printQuiet(w, seed)
+	changes := printChanges(w, seed)
+	printSpread(w, seed)
+	printFleet(w, quiet, changes)
+}
+
+func printQuiet(w io.Writer, seed uint64) []Quiet {
+	fmt.Fprint(w, "A quiet fleet, per member, sent and received, IP and UDP headers included:\n\n")
+	fmt.Fprintln(w, "| data centres x members | B/s mean | B/s relay | B/s most | messages/s mean | relay | core mean | core relay | heap KB |")
+	fmt.Fprintln(w, "|---|---|---|---|---|---|---|---|---|")
+	var rows []Quiet
+	for _, n := range sizes {
+		rows = append(rows, MeasureQuiet(seed, 1, n))
+	}
+	rows = append(rows, MeasureQuiet(seed, measuredCentres, measuredInCentres/2), MeasureQuiet(seed, measuredCentres, measuredInCentres))
+	for _, q := range rows {
+		fmt.Fprintf(w, "| %d x %d | %.0f | %.0f | %.0f | %.2f | %.2f | %.4f%% | %.4f%% | %.0f |\n", q.Centres, q.PerCentre,
+			q.Mean.BytesPerSecond, q.Relay.BytesPerSecond, q.Most.BytesPerSecond,
+			q.Mean.MessagesPerSecond, q.Relay.MessagesPerSecond, 100*q.Mean.Core, 100*q.Relay.Core, q.MemoryBytes/1024)
+	}
+	return rows
+}
+
+func printChanges(w io.Writer, seed uint64) []Change {
+	var rows []Change
+	for _, n := range sizes {
+		rows = append(rows, MeasureReplacement(seed, 1, n, replacements), MeasureCrash(seed, 1, n))
+	}
+	rows = append(rows,
+		MeasureReplacement(seed, measuredCentres, measuredInCentres, replacements),
+		MeasureCrash(seed, measuredCentres, measuredInCentres),
+		MeasureHeal(seed, 2, 8), MeasureHeal(seed, 2, 32), MeasureHeal(seed, 2, 128), MeasureHeal(seed, measuredCentres, measuredInCentres),
+		MeasureHeal(seed, 1, 16), MeasureHeal(seed, 1, 64), MeasureHeal(seed, 1, 256),
+	)
+	fmt.Fprint(w, "\nWhat one event costs each member beyond that:\n\n")
+	fmt.Fprintln(w, "| event | data centres x members | bytes mean | messages mean | bytes most, with the quiet part | until all agree |")
+	fmt.Fprintln(w, "|---|---|---|---|---|---|")
+	for _, c := range rows {
+		took := c.Took.Round(step).String()
+		switch {
+		case !c.Agreed:
+			took = "not within the bound"
+		case c.Took == 0:
+			took = "-"
+		}
+		fmt.Fprintf(w, "| %s | %d x %d | %.0f | %.1f | %.0f | %s |\n", c.Name, c.Centres, c.PerCentre, c.Bytes, c.Messages, c.MostBytes, took)
+	}
+	return rows
+}
+
+func printSpread(w io.Writer, seed uint64) {
+	fmt.Fprint(w, "\nA settings revision, from one member to all, pulls taken as instant:\n\n")
+	fmt.Fprintln(w, "| data centres x members | until all know | bytes mean |")
+	fmt.Fprintln(w, "|---|---|---|")
+	for _, s := range []Spread{
+		MeasureSpread(seed, 1, 16), MeasureSpread(seed, 1, 64), MeasureSpread(seed, 1, 256),
+		MeasureSpread(seed, measuredCentres, measuredInCentres),
+	} {
+		fmt.Fprintf(w, "| %d x %d | %v | %.0f |\n", s.Centres, s.PerCentre, s.Took.Round(10*time.Millisecond), s.Bytes)
+	}
+}
+
+// slope returns the least-squares line of y over x.
+func slope(x, y []float64) (perX, at0 float64) {
+	var sx, sy, sxx, sxy float64
+	n := float64(len(x))
+	for i := range x {
+		sx += x[i]
+		sy += y[i]
+		sxx += x[i] * x[i]
+		sxy += x[i] * y[i]
+	}
+	perX = (n*sxy - sx*sy) / (n*sxx - sx*sx)
+	return perX, (sy - perX*sx) / n
+}
+
+// printFleet works the figures out for the whole fleet: traffic over the
+// logarithm of the members, memory and processor time over the members.
+func printFleet(w io.Writer, quiet []Quiet, changes []Change) {
+	var logs, members, heaps, cores, bytes, replacement []float64
+	for i, n := range sizes {
+		logs = append(logs, math.Log2(float64(n)))
+		members = append(members, float64(n))
+		heaps = append(heaps, quiet[i].MemoryBytes)
+		cores = append(cores, quiet[i].Mean.Core)
+		bytes = append(bytes, quiet[i].Mean.BytesPerSecond)
+		replacement = append(replacement, changes[2*i].Bytes)
+	}
+	heapPer, heapAt0 := slope(members, heaps)
+	corePer, coreAt0 := slope(members, cores)
+	bytesPer, bytesAt0 := slope(logs, bytes)
+	replacementPer, replacementAt0 := slope(logs, replacement)
+	fleet := float64(fleetCentres * fleetPerCentre)
+	logCentre := math.Log2(fleetPerCentre)
+	far := quiet[len(quiet)-1]
+	one := bytesAt0 + bytesPer*math.Log2(measuredInCentres)
+	churn := (replacementAt0 + replacementPer*logCentre) * (replacementsADay + failuresADay) / secondsPerDay
+	here := bytesAt0 + bytesPer*logCentre
+	fmt.Fprint(w, "\nSlopes, and the figures worked out for 9,800 daemons in 7 data centres:\n\n")
+	fmt.Fprintln(w, "| figure | slope | at 9,800 in 7 |")
+	fmt.Fprintln(w, "|---|---|---|")
+	fmt.Fprintf(w, "| membership in the data centre, B/s | %.0f + %.1f a doubling | %.0f |\n", bytesAt0, bytesPer, here)
+	fmt.Fprintf(w, "| six other data centres, B/s, mean member | measured at 7 x %d less 1 x %d | %.0f |\n", measuredInCentres, measuredInCentres, far.Mean.BytesPerSecond-one)
+	fmt.Fprintf(w, "| six other data centres, B/s, relay | the same | %.0f |\n", far.Relay.BytesPerSecond-one)
+	fmt.Fprintf(w, "| replacements and failures, B/s | %.0f + %.0f a doubling, bytes each; %d a day | %.0f |\n", replacementAt0, replacementPer, replacementsADay+failuresADay, churn)
+	fmt.Fprintf(w, "| sum, relay, B/s | | %.0f |\n", here+far.Relay.BytesPerSecond-one+churn)
+	fmt.Fprintf(w, "| core, state machine, linear in the data centre's members | %.5f%% + %.7f%% a member | %.3f%% |\n", 100*coreAt0, 100*corePer, 100*(coreAt0+corePer*fleetPerCentre))
+	fmt.Fprintf(w, "| heap of the view, KB | %.1f + %.3f a member | %.0f |\n", heapAt0/1024, heapPer/1024, (heapAt0+heapPer*fleet)/1024)
+}
+
+// PrintReal prints what real daemons cost.
+func PrintReal(w io.Writer, rows []Real) {
+	fmt.Fprint(w, "\nIdle real daemons in two data centres, whole process:\n\n")
+	fmt.Fprintln(w, "| daemons | membership B/s | messages/s | core | resident MB | store calls/s of all |")
+	fmt.Fprintln(w, "|---|---|---|---|---|---|")
+	for _, r := range rows {
+		fmt.Fprintf(w, "| %d | %.0f | %.2f | %.2f%% | %.1f | %.2f |\n", r.Daemons, r.BytesPerSecond, r.MessagesPerSecond, 100*r.Core, r.ResidentBytes/(1<<20), r.StoreCallsPerSecond)
+	}
+}
--- /dev/null
+++ b/node/settingsync/sync_test.go
@@ -0,0 +1,244 @@
+package settingsync
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"fuchsiavane.org/core/member"
+	"fuchsiavane.org/node/edit"
+	"fuchsiavane.org/node/event"
+	"fuchsiavane.org/node/metrics"
+	"fuchsiavane.org/node/platform"
+	"fuchsiavane.org/node/platform/memstore"
+)
+
+// fakePeers is a membership in which this member is a watcher or not.
+type fakePeers struct {
+	watcher bool
+
+	mu     sync.Mutex
+	newest member.Newest
+	told   uint64
+	ring   chan struct{}
+}
+
+func (f *fakePeers) Chosen(context.Context, string, int) bool { return f.watcher }
+func (f *fakePeers) Newest() <-chan struct{}                  { return f.ring }
+
+func (f *fakePeers) HighestRevision() member.Newest {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.newest
+}
+
+func (f *fakePeers) SetRevision(_ context.Context, revision uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.told = revision
+}
+
+// countingStore counts calls by second and can be away.
+type countingStore struct {
+	platform.Store
+
+	mu    sync.Mutex
+	away  bool
+	calls map[int64]int
+}
+
+func (c *countingStore) call() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.calls[time.Now().Unix()]++
+	if c.away {
+		return platform.ErrUnavailable
+	}
+	return nil
+}
+
+func (c *countingStore) setAway(away bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.away = away
+}
+
+func (c *countingStore) Get(ctx context.Context, key string) (platform.Entry, error) {
+	if err := c.call(); err != nil {
+		return platform.Entry{}, err
+	}
+	return c.Store.Get(ctx, key)
+}
+
+func (c *countingStore) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]platform.Change, uint64, error) {
+	if err := c.call(); err != nil {
+		return nil, 0, err
+	}
+	return c.Store.Watch(ctx, prefix, after, wait)
+}
+
+func newSyncer(store platform.Store, peers Peers, log *event.Logger) (*Syncer, *Holder) {
+	holder := NewHolder()
+	return NewSyncer(Config{
+		Store: store, Holder: holder, Exchange: NewExchange(holder, nil), Peers: peers, Metrics: metrics.New(), Log: log,
+	}), holder
+}
+
+func apply(t *testing.T, store platform.Store, document string) {
+	t.Helper()
+	if _, err := edit.Apply(context.Background(), store, []byte(document), "test", nil); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// All watchers of seven data centres lose the store for ten minutes. They ask
+// seldom meanwhile, and not all at once when it returns.
+func TestStoreReturnsWithoutHerd(t *testing.T) {
+	const watchers = 7 * Watchers
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := &countingStore{Store: memstore.New(), calls: map[int64]int{}}
+		apply(t, store.Store, `{}`)
+		ctx, stop := context.WithCancel(t.Context())
+		var holders []*Holder
+		var group sync.WaitGroup
+		for range watchers {
+			s, holder := newSyncer(store, &fakePeers{watcher: true}, event.Discard())
+			holders = append(holders, holder)
+			group.Go(func() { s.Run(ctx) })
+		}
+		time.Sleep(time.Minute)
+		store.setAway(true)
+		time.Sleep(10 * time.Minute)
+		apply(t, store.Store, `{"settings": {"slots": 7}}`)
+		store.setAway(false)
+		back := time.Now().Unix()
+		time.Sleep(storeMost)
+		for _, holder := range holders {
+			is.Equal(holder.Current().Revision, uint64(2))
+		}
+		stop()
+		group.Wait()
+		sum := 0
+		for second := back; second <= back+int64(storeMost/time.Second); second++ {
+			sum += store.calls[second]
+			is.True(store.calls[second] <= watchers) // they come one after the other
+		}
+		is.True(sum <= 3*watchers) // a read and a watch each, and one that was just waiting
+	})
+}
+
+func TestOlderStoreRevertsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := memstore.New()
+		apply(t, store, `{}`)
+		old := store.Backup()
+		apply(t, store, `{"settings": {"slots": 7}}`)
+		log := &strings.Builder{}
+		ctx, stop := context.WithCancel(t.Context())
+		s, holder := newSyncer(store, &fakePeers{watcher: true}, event.New(log, 1, "a"))
+		done := make(chan struct{})
+		go func() { s.Run(ctx); close(done) }()
+		time.Sleep(time.Second)
+		is.Equal(holder.Current().Revision, uint64(2))
+		store.Restore(old)
+		time.Sleep(watchWait)
+		is.Equal(holder.Current().Revision, uint64(2))
+		revision, older := s.StoreOlder()
+		is.True(older)
+		is.Equal(revision, uint64(1))
+		apply(t, store, `{"settings": {"slots": 9}}`) // revision 2 again, but another edit
+		time.Sleep(watchWait)
+		is.Equal(holder.Current().Document.ServiceValues("s").Slots, 7)
+		_, older = s.StoreOlder()
+		is.True(older)
+		stop()
+		<-done
+		is.Equal(strings.Count(log.String(), `"event":203`), 2) // once for each state of the store
+	})
+}
+
+func TestPullTakesHigherRevisionsAsPatch(t *testing.T) {
+	is := is.New(t)
+	store := memstore.New()
+	big := func(n int) string {
+		services := make([]string, 550)
+		for i := range services {
+			services[i] = fmt.Sprintf(`"service-%03d": {"settings": {"slots": %d}}`, i, 10+i%n)
+		}
+		return `{"services": {` + strings.Join(services, ",") + `}}`
+	}
+	serving, pulling := NewHolder(), NewHolder()
+	offer := func(document string) edit.Head {
+		apply(t, store, document)
+		head, _, err := edit.Read(context.Background(), store)
+		is.NoErr(err)
+		_, findings := serving.Offer(head)
+		is.Equal(len(findings), 0)
+		return head
+	}
+	exchange := NewExchange(serving, []byte("key"))
+	server := httptest.NewServer(exchange)
+	defer server.Close()
+	addr := strings.TrimPrefix(server.URL, "http://")
+	mine := NewExchange(pulling, []byte("key"))
+	first := offer(big(90))
+	head, err := mine.Pull(context.Background(), addr)
+	is.NoErr(err)
+	taken, _ := pulling.Offer(head)
+	is.True(taken)
+	is.Equal(pulling.Current().Revision, first.Revision)
+	edited := strings.Replace(big(90), `"slots": 47`, `"slots": 48`, 1)
+	offer(edited)
+	head, err = mine.Pull(context.Background(), addr)
+	is.NoErr(err)
+	is.Equal(string(head.Document), edited)
+	a := exchange.answer(&ask{EditID: first.EditID})
+	is.True(a.Patch != nil) // the change only
+	is.True(len(a.Document) == 0 && len(a.Patch.Middle) < 10)
+	taken, _ = pulling.Offer(head)
+	is.True(taken)
+	taken, _ = pulling.Offer(first)
+	is.True(!taken) // never back
+	_, err = NewExchange(pulling, []byte("other")).Pull(context.Background(), addr)
+	is.True(err != nil) // without the key nothing is given
+}
+
+func TestFollowerPullsFromTheTeller(t *testing.T) {
+	is := is.New(t)
+	store := memstore.New()
+	apply(t, store, `{}`)
+	value, err := store.Get(context.Background(), edit.HeadKey)
+	is.NoErr(err)
+	var head edit.Head
+	is.NoErr(json.Unmarshal(value.Value, &head))
+	serving := NewHolder()
+	_, _ = serving.Offer(head)
+	server := httptest.NewServer(NewExchange(serving, nil))
+	defer server.Close()
+	peers := &fakePeers{ring: make(chan struct{}, 1)}
+	s, holder := newSyncer(nil, peers, event.Discard()) // a follower makes no call to the store
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { s.Run(ctx); close(done) }()
+	peers.mu.Lock()
+	peers.newest = member.Newest{Revision: 1, Addr: strings.TrimPrefix(server.URL, "http://")}
+	peers.mu.Unlock()
+	peers.ring <- struct{}{}
+	for end := time.Now().Add(10 * time.Second); holder.Current().Revision != 1 && time.Now().Before(end); {
+		time.Sleep(5 * time.Millisecond)
+	}
+	is.Equal(holder.Current().Revision, uint64(1))
+	stop()
+	<-done
+	is.Equal(peers.told, uint64(1))
+}
