--- /dev/null
+++ b/lab/pages/commands_test.go
@@ -0,0 +1,62 @@
+package pages
+
+import (
+	"io"
+	"os"
+	"os/exec"
+	"regexp"
+	"strings"
+	"testing"
+
+	"fuchsiavane.org/node/config"
+)
+
+var (
+	continuedLine  = regexp.MustCompile(`\\\n\s*`)
+	indentedPrompt = regexp.MustCompile(`(?m)^ {4,6}((?:go|bin/|\./|fuchsiavaned?) ?.*)$`)
+)
+
+// The indented commands of README.md and CONTRIBUTING.md work. Shell blocks are
+// run by lab/scenario, go test and go run commands are checked by
+// TestGoCommandsInPages.
+func TestSetUpCommandsInPages(t *testing.T) {
+	for _, page := range []string{"README.md", "CONTRIBUTING.md"} {
+		text := continuedLine.ReplaceAllString(read(t, page), "")
+		for _, m := range indentedPrompt.FindAllStringSubmatch(text, -1) {
+			checkSetUpCommand(t, page, m[1])
+		}
+	}
+}
+
+func checkSetUpCommand(t *testing.T, page, command string) {
+	t.Helper()
+	fields := strings.Fields(command)
+	switch {
+	case command == "go mod download all":
+		runInRoot(t, fields)
+	case strings.HasPrefix(command, "go build -o bin/ "):
+		fields[3] = t.TempDir() + "/"
+		runInRoot(t, fields)
+	case strings.HasPrefix(command, "go test "), command == "./test.sh":
+	case command == "bin/fuchsiavane demo":
+		if !strings.Contains(read(t, "lab/scenario/testdata/script/demo.txtar"), "fuchsiavane demo") {
+			t.Error("no scenario runs the demo")
+		}
+	case fields[0] == "fuchsiavaned":
+		if _, err := config.Parse(fields[1:], io.Discard); err != nil {
+			t.Errorf("%s: %s: %v", page, command, err)
+		}
+	default:
+		t.Errorf("%s: nothing checks the command %q", page, command)
+	}
+}
+
+func runInRoot(t *testing.T, fields []string) {
+	t.Helper()
+	cmd := exec.Command(fields[0], fields[1:]...)
+	cmd.Dir = root
+	cmd.Env = os.Environ()
+	if output, err := cmd.CombinedOutput(); err != nil {
+		t.Errorf("%s: %v\n%s", strings.Join(fields, " "), err, output)
+	}
+}
