--- a/lab/scenario/flood_test.go
+++ b/lab/scenario/flood_test.go
@@ -41,8 +41,9 @@
 	return l
 }
 
+// caller calls until the end, at least once.
 func (l *load) caller(w *world, request *http.Request, end time.Time) {
-	for time.Now().Before(end) {
+	for first := true; first || time.Now().Before(end); first = false {
 		one := request.Clone(request.Context())
 		one.Header.Set("Idempotency-Key", uuid.Must(uuid.NewV7()).String())
 		result := sendOne(one)
