--- a/core/settings/keys.go
+++ b/core/settings/keys.go
@@ -163,7 +163,7 @@
 		func(v *Values) any { return v.Connections },
 	},
 	{
-		"queue_ms", "ms", "Longest wait for a slot.", LevelRank,
+		"queue_ms", "ms", "Longest wait for a slot.", LevelService,
 		duration(0, maxDuration, func(v *Values) *time.Duration { return &v.Queue }),
 		func(v *Values) any { return v.Queue.Milliseconds() },
 	},
