Log membership messages that don't prove the link key

Cause: with the directory by gossip a daemon with another link key is no peer, so the refusal that operators need to see was only counted.

--- a/node/event/catalogue.go
+++ b/node/event/catalogue.go
@@ -29,6 +29,7 @@
 	MemberSuperseded   = Event{404, "instance-duplicate", plog.ErrorLevel, "A process that started later holds this instance id. This daemon is not ready and takes no part in membership; give one of the two another id."}
 	CentreUnreachable  = Event{405, "data-centre-unreachable", plog.ErrorLevel, "A data centre does not answer. Its instances are kept and used again when it answers."}
 	CentreReachable    = Event{406, "data-centre-reachable", plog.InfoLevel, "A data centre answers again."}
+	MemberRefused      = Event{407, "member-refused", plog.WarnLevel, "A membership message did not prove the link key, or came from outside loopback without one. Give all daemons the same -link-key. At most one line a minute."}
 	BadCallerInput     = Event{501, "request-malformed", plog.InfoLevel, "A caller's request was malformed and refused."}
 	UpstreamCrashed    = Event{510, "upstream-crashed", plog.WarnLevel, "The upstream died with requests in flight. Each of them runs alone from now on, until it has ended well."}
 	RequestQuarantined = Event{511, "request-quarantined", plog.ErrorLevel, "A request has crashed two upstreams and is refused with 422 for an hour. Find it by its fingerprint and mend the upstream."}
@@ -44,7 +45,7 @@
 		DaemonStarted, DaemonLeaving, DaemonStopped, LinksOpen, PortFailed,
 		SettingsInForce, SettingsRefused, SettingsOlder,
 		LinkOpened, LinkClosed, LinkRefused, LinkMalformed, LinkNotOpened, LinkRecovered,
-		PeersChanged, MemberDead, MemberResumed, MemberSuperseded, CentreUnreachable, CentreReachable,
+		PeersChanged, MemberDead, MemberResumed, MemberSuperseded, CentreUnreachable, CentreReachable, MemberRefused,
 		BadCallerInput, PlatformAway, PlatformBack,
 		ClaimsNotRefreshed, ClaimsNotReleased, UpstreamCrashed, RequestQuarantined,
 	}
--- a/node/membership/membership.go
+++ b/node/membership/membership.go
@@ -34,6 +34,8 @@
 	streamWorkers = 4
 	// commandLimit bounds the calls that wait for the duty.
 	commandLimit = 16
+	// refusedLogInterval is the least time between two lines on refused messages.
+	refusedLogInterval = time.Minute
 	// socketBuffer is the kernel's receive buffer of the datagrams, in bytes.
 	socketBuffer = 1 << 20
 )
@@ -83,6 +85,8 @@
 	newest   chan struct{}
 	stopped  chan struct{}
 
+	refusedLog atomic.Int64 // Unix nanoseconds of the last line on a refused message
+
 	published uint64 // the member's version in view; owned by the loop
 }
 
@@ -347,7 +351,7 @@
 	d.counts.receivedBytes.Add(len(data))
 	opened, err := d.seal.Open(datagramPurpose, data, from.Addr())
 	if err != nil {
-		d.counts.refused.Inc()
+		d.refuse(from, err)
 		return
 	}
 	message, err := decode(opened)
@@ -358,6 +362,18 @@
 	d.enqueue(inbound{from.String(), message})
 }
 
+// refuse counts a message that does not prove the link key, and logs it unless
+// one was logged less than refusedLogInterval ago.
+func (d *Duty) refuse(from netip.AddrPort, err error) {
+	d.counts.refused.Inc()
+	now := time.Now().UnixNano()
+	last := d.refusedLog.Load()
+	if now-last < refusedLogInterval.Nanoseconds() || !d.refusedLog.CompareAndSwap(last, now) {
+		return
+	}
+	d.config.Log.Log(event.MemberRefused).Str("remote", from.String()).Err(err).Msg("membership message refused")
+}
+
 // enqueue hands a message to the loop, or drops it if the loop is behind.
 func (d *Duty) enqueue(in inbound) {
 	d.counts.received.Inc()
--- a/node/membership/stream.go
+++ b/node/membership/stream.go
@@ -86,7 +86,7 @@
 	d.counts.receivedBytes.Add(len(data))
 	opened, err := d.seal.Open(streamPurpose, data, from.Addr())
 	if err != nil {
-		d.counts.refused.Inc()
+		d.refuse(from, err)
 		http.Error(w, "refused", http.StatusForbidden)
 		return
 	}
