--- a/lab/bench/bench.go
+++ b/lab/bench/bench.go
@@ -25,6 +25,9 @@
 	SaturationCallers int
 	// RequestBytes and AnswerBytes are the sizes of the bodies.
 	RequestBytes, AnswerBytes int
+	// BulkCallers pull archives of BulkBytes in the least rank, one after
+	// another, in a steady load of its own.
+	BulkCallers, BulkBytes int
 	// Seed orders direct calls and calls through the daemons.
 	Seed uint64
 	// DaemonEnv is added to the environment of the daemons, as in "GOGC=100".
@@ -41,6 +44,8 @@
 		SaturationCallers: 64,
 		RequestBytes:      512,
 		AnswerBytes:       1024,
+		BulkCallers:       4,
+		BulkBytes:         8 << 20,
 		Seed:              1,
 	}
 }
@@ -48,7 +53,11 @@
 // Result is one measurement.
 type Result struct {
 	Direct, Through Latencies
-	Errors          int
+	// BulkDirect and BulkThrough are the same calls while archives are pulled.
+	BulkDirect, BulkThrough Latencies
+	// BulkRate is bytes per second of the archives.
+	BulkRate float64
+	Errors   int
 	// AllocationsPerCall is heap allocations of both daemons per call.
 	AllocationsPerCall float64
 	// CPUPerCall is the processor time of both daemons per call.
@@ -84,9 +93,21 @@
 	if err := result.measureSteady(ctx, c, s, l); err != nil {
 		return nil, err
 	}
+	result.measureBulk(ctx, c, l)
 	return result, result.measureSaturated(ctx, c, s, l)
 }
 
+func (r *Result) measureBulk(ctx context.Context, c Config, l *load) {
+	bulkCtx, stop := context.WithCancel(ctx)
+	began := time.Now()
+	pulled := l.bulk(bulkCtx)
+	samples := l.steady(ctx, c.Length)
+	stop()
+	r.BulkRate = float64(pulled()) / time.Since(began).Seconds()
+	r.BulkDirect, r.BulkThrough = samples.direct, samples.through
+	r.Errors += samples.errors
+}
+
 func (r *Result) measureSteady(ctx context.Context, c Config, s *system, l *load) error {
 	before, err := s.usage()
 	if err != nil {
@@ -124,16 +145,9 @@
 // Print writes the figures as a table.
 func (r *Result) Print(w io.Writer) {
 	const mega = 1 << 20
-	row := func(name string, q func(Latencies) time.Duration) {
-		d, t := q(r.Direct), q(r.Through)
-		fmt.Fprintf(w, "| %s | %.3f | %.3f | %.3f |\n", name, milliseconds(d), milliseconds(t), milliseconds(t-d))
-	}
-	fmt.Fprintln(w, "| | direct, ms | through two daemons, ms | added, ms |")
-	fmt.Fprintln(w, "|---|---|---|---|")
-	row("p50", func(l Latencies) time.Duration { return l.Quantile(0.50) })
-	row("p90", func(l Latencies) time.Duration { return l.Quantile(0.90) })
-	row("p99", func(l Latencies) time.Duration { return l.Quantile(0.99) })
-	row("p99.9", func(l Latencies) time.Duration { return l.Quantile(0.999) })
+	table(w, r.Direct, r.Through)
+	fmt.Fprintf(w, "\nwhile archives are pulled through the same daemons at %.1f MB/s:\n\n", r.BulkRate/mega)
+	table(w, r.BulkDirect, r.BulkThrough)
 	fmt.Fprintf(w, "\ncalls: %d direct, %d through, %d errors\n", len(r.Direct), len(r.Through), r.Errors)
 	fmt.Fprintf(w, "both daemons per call at the steady load: %.0f allocations, %d µs of processor time\n",
 		r.AllocationsPerCall, r.CPUPerCall.Microseconds())
@@ -143,4 +157,17 @@
 		r.RestBytes/mega, r.LoadedBytes/mega)
 }
 
+// table writes quantiles and their differences.
+func table(w io.Writer, direct, through Latencies) {
+	fmt.Fprintln(w, "| | direct, ms | through two daemons, ms | added, ms |")
+	fmt.Fprintln(w, "|---|---|---|---|")
+	for _, row := range []struct {
+		name string
+		q    float64
+	}{{"p50", 0.50}, {"p90", 0.90}, {"p99", 0.99}, {"p99.9", 0.999}} {
+		d, t := direct.Quantile(row.q), through.Quantile(row.q)
+		fmt.Fprintf(w, "| %s | %.3f | %.3f | %.3f |\n", row.name, milliseconds(d), milliseconds(t), milliseconds(t-d))
+	}
+}
+
 func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- a/lab/bench/load.go
+++ b/lab/bench/load.go
@@ -11,6 +11,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"fuchsiavane.org/node/call"
 )
 
 // Latencies holds the times of calls.
@@ -32,6 +34,7 @@
 	client  *http.Client
 	direct  string
 	through string
+	archive string
 	body    []byte
 }
 
@@ -43,6 +46,7 @@
 		client:  &http.Client{Transport: transport},
 		direct:  s.upstream + path,
 		through: s.entry + path,
+		archive: s.entry + fmt.Sprintf("/archive?bytes=%d", c.BulkBytes),
 		body:    bytes.Repeat([]byte("x"), c.RequestBytes),
 	}
 }
@@ -122,6 +126,40 @@
 	return int(made.Load()), int(failed.Load())
 }
 
+// bulk pulls archives until the context ends, and returns a function that waits
+// for the end and gives the bytes pulled.
+func (l *load) bulk(ctx context.Context) (pulled func() int64) {
+	var total atomic.Int64
+	var group sync.WaitGroup
+	for range l.config.BulkCallers {
+		group.Go(func() {
+			for ctx.Err() == nil {
+				n, _ := l.pull(ctx) // what a broken pull got counts too
+				total.Add(n)
+			}
+		})
+	}
+	return func() int64 {
+		group.Wait()
+		return total.Load()
+	}
+}
+
+func (l *load) pull(ctx context.Context) (int64, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, l.archive, http.NoBody)
+	if err != nil {
+		return 0, err
+	}
+	request.Host = upstreamService
+	request.Header.Set(call.HeaderRank, bulkRank)
+	response, err := l.client.Do(request)
+	if err != nil {
+		return 0, err
+	}
+	defer response.Body.Close()
+	return io.Copy(io.Discard, response.Body)
+}
+
 func (l *load) call(ctx context.Context, url string) error {
 	request, err := http.NewRequestWithContext(ctx, http.MethodPut, url, bytes.NewReader(l.body))
 	if err != nil {
--- a/lab/bench/system.go
+++ b/lab/bench/system.go
@@ -16,13 +16,22 @@
 
 	"github.com/pkg/errors"
 
+	"fuchsiavane.org/node/edit"
 	"fuchsiavane.org/node/freeport"
+	"fuchsiavane.org/node/platform/client"
 )
 
 const (
 	// entryService and upstreamService are the services of the two daemons.
 	entryService    = "entry"
 	upstreamService = "bench"
+	// bulkRank is the least urgent rank, whose calls have links of their own.
+	bulkRank = "bulk"
+	// document is the settings.
+	document = `{
+		"settings": {"timeout_ms": 10000, "attempts": 2, "rank": "lookup", "slots": 200},
+		"ranks": [{"name": "lookup", "share": 0.3}, {"name": "bulk", "share": 0.05}]
+	}`
 	// startTimeout bounds the start of the processes.
 	startTimeout = 20 * time.Second
 	// restTime is the pause before memory at rest is read.
@@ -77,6 +86,9 @@
 	if err := s.process("platform", nil, "-listen", platform); err != nil {
 		return err
 	}
+	if err := apply(ctx, "http://"+platform); err != nil {
+		return err
+	}
 	if err := s.process("upstream", nil, "-listen", upstream); err != nil {
 		return err
 	}
@@ -89,6 +101,22 @@
 	return s.ready(ctx)
 }
 
+// apply puts the settings into the store as soon as it answers.
+func apply(ctx context.Context, platform string) error {
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	store, err := client.New(platform)
+	if err != nil {
+		return err
+	}
+	for {
+		if _, err = edit.Apply(ctx, store, []byte(document), "bench", nil); err == nil || ctx.Err() != nil {
+			return err
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
 func (s *system) daemon(service, platform string, addrs []string) error {
 	s.admins = append(s.admins, "http://"+addrs[3])
 	return s.process("fuchsiavaned", s.daemonEnv, "-instance-id", service+"-0", "-service", service,
--- a/lab/cmd/bench/main.go
+++ b/lab/cmd/bench/main.go
@@ -21,6 +21,8 @@
 	flag.IntVar(&c.SaturationCallers, "saturate-callers", c.SaturationCallers, "`number` of callers at saturation")
 	flag.IntVar(&c.RequestBytes, "in", c.RequestBytes, "`bytes` of a request's body")
 	flag.IntVar(&c.AnswerBytes, "out", c.AnswerBytes, "`bytes` of an answer's body")
+	flag.IntVar(&c.BulkCallers, "bulk-callers", c.BulkCallers, "`number` of callers that pull archives")
+	flag.IntVar(&c.BulkBytes, "bulk-bytes", c.BulkBytes, "`bytes` of an archive")
 	flag.Uint64Var(&c.Seed, "seed", c.Seed, "`seed` of the order of calls")
 	env := flag.String("daemon-env", "", "`variables` added to the daemons' environment, such as \"GOGC=100 GOMAXPROCS=2\"")
 	flag.Parse()
