Tell the service's other instances of a crash before its answers go out

A request that crashes upstreams cost two for each entry daemon that it came by, since only the daemons that had seen the crash knew.

--- a/node/daemon/daemon.go
+++ b/node/daemon/daemon.go
@@ -77,8 +77,8 @@
 	d.shared = newShared(c, store, d.settings, d.picker, d.metrics, log)
 	d.gate = upstream.NewGate(c.Service, d.settings)
 	d.runner = upstream.NewRunner(base, d.gate, table)
-	d.guardOwn(store, base)
 	d.pool = link.NewPool(identity, link.DefaultTiming(), log)
+	d.guardOwn(store, base)
 	d.listener = link.NewListener(identity, link.DefaultTiming(), d.own, log)
 	d.gateway = gateway.New(gateway.Config{
 		Instance: c.InstanceID, Place: route.Place{Region: c.Region, DataCentre: c.DataCentre},
--- a/node/daemon/once.go
+++ b/node/daemon/once.go
@@ -18,7 +18,10 @@
 		Instance: d.config.InstanceID, Service: d.config.Service,
 		Store: store, Live: d.liveOfService, Log: d.log,
 	})
-	d.guard = suspect.NewGuard(d.runner, base.Host, nil, d.log)
+	teller := &suspect.Teller{
+		Instance: d.config.InstanceID, Service: d.config.Service, Peers: d.picker.Peers, Transport: d.pool,
+	}
+	d.guard = suspect.NewGuard(d.runner, base.Host, teller, d.log)
 	d.own = once.NewServer(d.keeper, d.guard)
 	d.gaugeClaims()
 	d.metrics.Gauge("fuchsiavane_upstream_crashes_total", func() float64 { return float64(d.guard.Crashes()) })
--- a/node/daemon/suspect_test.go
+++ b/node/daemon/suspect_test.go
@@ -45,6 +45,7 @@
 	store := memstore.New()
 	daemontest.Apply(t, store, `{"settings": {"timeout_ms": 5000, "attempts": 6, "retry_ratio": 1}}`)
 	entry := daemontest.Start(t, store, daemontest.Options{ID: "entry", Service: "front", Upstream: &counter{}})
+	other := daemontest.Start(t, store, daemontest.Options{ID: "other", Service: "front", Upstream: &counter{}})
 	var upstreams []*mortal
 	var ids []string
 	for i := range 5 {
@@ -55,6 +56,7 @@
 		upstreams = append(upstreams, m)
 	}
 	entry.AwaitPeers(1, ids...)
+	other.AwaitPeers(1, ids...)
 	stop := make(chan struct{})
 	var group sync.WaitGroup
 	var whole, refused atomic.Int64
@@ -77,8 +79,8 @@
 		})
 	}
 	var last daemontest.Reply
-	for range 10 { // its caller sends it again and again
-		last = entry.Call("GET", "bench", "/poison", "")
+	for i := range 10 { // its caller sends it again and again, by any entry
+		last = []*daemontest.Instance{entry, other}[i%2].Call("GET", "bench", "/poison", "")
 		is.NoErr(last.Err)
 		is.True(last.Outcome != call.Ran)
 	}
--- a/node/suspect/guard.go
+++ b/node/suspect/guard.go
@@ -35,7 +35,8 @@
 	aloneWait = 2 * time.Second
 )
 
-// Spread tells other instances of suspicions. Tell must not block.
+// Spread tells other instances of suspicions. The answers of the runs that were
+// in the crash wait for Tell, so that no resend comes before the news.
 type Spread interface {
 	Tell(told []core.Suspicion)
 }
@@ -95,7 +96,9 @@
 // Serve implements call.Server.
 func (g *Guard) Serve(ctx context.Context, r *call.Request) *call.Answer {
 	print := PrintOf(r)
-	if mark := r.Header.Get(HeaderSuspect); mark != "" {
+	if mark := r.Header.Get(HeaderSuspect); mark == markTold {
+		return g.told(r)
+	} else if mark != "" {
 		Learn(g.ledger, print, mark)
 		r = unmarked(r)
 	}
