--- a/node/daemon/suspect_test.go
+++ b/node/daemon/suspect_test.go
@@ -46,6 +46,7 @@
 	daemontest.Apply(t, store, `{"settings": {"timeout_ms": 5000, "attempts": 6, "retry_ratio": 1}}`)
 	entry := daemontest.Start(t, store, daemontest.Options{ID: "entry", Service: "front", Upstream: &counter{}})
 	other := daemontest.Start(t, store, daemontest.Options{ID: "other", Service: "front", Upstream: &counter{}})
+	instances := []*daemontest.Instance{entry, other}
 	var upstreams []*mortal
 	var ids []string
 	for i := range 5 {
@@ -53,10 +54,12 @@
 		ids = append(ids, fmt.Sprint("bench-", i))
 		instance := daemontest.Start(t, store, daemontest.Options{ID: ids[i], Service: "bench", Upstream: m})
 		m.server.Store(instance.Upstream)
+		instances = append(instances, instance)
 		upstreams = append(upstreams, m)
 	}
-	entry.AwaitPeers(1, ids...)
-	other.AwaitPeers(1, ids...)
+	for _, instance := range instances {
+		instance.AwaitPeers(1, ids...)
+	}
 	stop := make(chan struct{})
 	var group sync.WaitGroup
 	var whole, refused atomic.Int64
@@ -80,7 +83,7 @@
 	}
 	var last daemontest.Reply
 	for i := range 10 { // its caller sends it again and again, by any entry
-		last = []*daemontest.Instance{entry, other}[i%2].Call("GET", "bench", "/poison", "")
+		last = instances[i%2].Call("GET", "bench", "/poison", "")
 		is.NoErr(last.Err)
 		is.True(last.Outcome != call.Ran)
 	}
--- a/node/gateway/owner.go
+++ b/node/gateway/owner.go
@@ -26,6 +26,9 @@
 	maxGone = 6
 	// maxViews bounds the services whose owners are remembered.
 	maxViews = 1024
+	// unownedTime is the time for which no keys are made in a shard without an
+	// owner.
+	unownedTime = time.Second
 	// maxKeyTries bounds the keys made in search of one with a near owner.
 	maxKeyTries = 512
 )
@@ -49,6 +52,9 @@
 	preferred [once.Shards]string
 	// learned is the owner that an instance has named, which goes first.
 	learned [once.Shards]string
+	// unowned is the time until which no keys are made in a shard, since no
+	// owner was found for it.
+	unowned [once.Shards]time.Time
 }
 
 func newOwners(place route.Place, picker *route.Picker) *owners {
@@ -169,7 +175,7 @@
 func (o *owners) tier(v *view, shard int, tried []string) int {
 	p, ok := v.owner(shard)
 	switch {
-	case !ok || p.Leaving || slices.Contains(tried, p.ID):
+	case !ok || p.Leaving || slices.Contains(tried, p.ID) || time.Now().Before(v.unowned[shard]):
 		return tierNone
 	case p.DataCentre == o.place.DataCentre:
 		return 0
@@ -179,8 +185,19 @@
 	return 2
 }
 
-// learn takes the owner that an instance has named, or forgets one. It reports
-// whether that is a known peer.
+// forget gives up what was learned of a key's owner.
+func (o *owners) forget(r *call.Request) {
+	key, err := once.ParseKey(r.Key)
+	if err != nil {
+		return
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.view(r.Service, time.Now()).learned[key.Shard()] = ""
+}
+
+// learn takes the owner that an instance has named, or that it knows none. It
+// reports whether the owner is a known peer.
 func (o *owners) learn(r *call.Request, owner string) bool {
 	key, err := once.ParseKey(r.Key)
 	if err != nil {
@@ -190,6 +207,9 @@
 	defer o.mu.Unlock()
 	v := o.view(r.Service, time.Now())
 	v.learned[key.Shard()] = owner
+	if owner == "" {
+		v.unowned[key.Shard()] = time.Now().Add(unownedTime)
+	}
 	_, known := v.peers[owner]
 	return known
 }
@@ -342,7 +362,7 @@
 // retarget lets another instance have a key that this daemon made, if nothing
 // can have run.
 func (s *search) retarget(peer route.Peer) {
-	s.gateway.owners.learn(s.request, "")
+	s.gateway.owners.forget(s.request)
 	s.tried = append(s.tried, peer.ID)
 	if s.request.KeyMade && !s.dirty {
 		s.request.Key = ""
--- a/node/suspect/guard.go
+++ b/node/suspect/guard.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -54,6 +55,8 @@
 	last    uint64
 	flights map[uint64]*flight
 	crashes uint64
+	looking *crash // the look in progress, nil if none
+	dead    bool   // has crashed and not been reached since
 }
 
 // flight is a run in progress.
@@ -112,6 +115,10 @@
 		a.RetryAfter = time.Second
 		return a
 	}
+	if !g.alive() {
+		g.room.leave(alone)
+		return refuse(r, call.RefusedUnreachable, "the upstream has crashed")
+	}
 	id, f := g.begin(print)
 	answer := g.next.Serve(ctx, r)
 	if broken(answer) {
@@ -163,6 +170,25 @@
 	return a.Refusal == call.RefusedUnreachable && a.Outcome == call.Unknown
 }
 
+// alive reports whether the upstream can be reached, which is looked at only
+// after a crash. A run that began at a dead upstream would be taken for the
+// cause of a second crash.
+func (g *Guard) alive() bool {
+	g.mu.Lock()
+	dead := g.dead
+	g.mu.Unlock()
+	if !dead {
+		return true
+	}
+	if g.refuses() {
+		return false
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.dead = false
+	return true
+}
+
 func (g *Guard) begin(print core.Fingerprint) (uint64, *flight) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -206,9 +232,13 @@
 func (g *Guard) crashOf(f *flight) (c *crash, first bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if f.crash == nil && g.looking != nil {
+		f.crash = g.looking // began when the upstream was dead or dying
+	}
 	if f.crash == nil {
 		f.crash = &crash{done: make(chan struct{})}
 		first = true
+		g.looking = f.crash
 		for _, other := range g.flights {
 			if other == f || other.crash == nil {
 				other.crash = f.crash
@@ -217,14 +247,16 @@
 			}
 		}
 	}
-	f.crash.broken++
+	if slices.Contains(f.crash.flights, f) {
+		f.crash.broken++
+	}
 	return f.crash, first
 }
 
 // examine finds out whether the upstream has died: it takes no connection, or
 // all of several runs broke together.
 func (g *Guard) examine(c *crash) {
-	defer close(c.done)
+	defer g.conclude(c)
 	for end := time.Now().Add(probeTime); time.Now().Before(end); time.Sleep(probePause) {
 		if g.refuses() || g.allBroken(c) {
 			c.confirmed = true
@@ -235,10 +267,11 @@
 		g.forgive(c)
 		return
 	}
-	told := g.ledger.Crash(time.Now(), c.prints)
 	g.mu.Lock()
 	g.crashes++
+	g.dead = true
 	g.mu.Unlock()
+	told := g.ledger.Crash(time.Now(), c.prints)
 	g.log.Log(event.UpstreamCrashed).Int("in_flight", len(c.prints)).Msg("the upstream has crashed")
 	for _, s := range told {
 		if s.Quarantined {
@@ -250,6 +283,14 @@
 	}
 }
 
+// conclude ends a look.
+func (g *Guard) conclude(c *crash) {
+	g.mu.Lock()
+	g.looking = nil
+	g.mu.Unlock()
+	close(c.done)
+}
+
 // forgive lets the runs that go on open another look.
 func (g *Guard) forgive(c *crash) {
 	g.mu.Lock()
--- a/node/suspect/teller.go
+++ b/node/suspect/teller.go
@@ -20,7 +20,7 @@
 	// suspicions.
 	markTold = "told"
 	// tellTime bounds the telling of one crash.
-	tellTime = 200 * time.Millisecond
+	tellTime = time.Second
 	// maxTelling bounds the peers told at the same time.
 	maxTelling = 32
 	// maxTold bounds the body of one telling, in bytes.
