--- a/core/member/member_test.go
+++ b/core/member/member_test.go
@@ -343,3 +343,20 @@
 		is.True(!node.Member.IsChosen("watch", 2) || node != chosen) // the leaving one hands over
 	}
 }
+
+// The member that first told of a revision may be gone when it is to be pulled.
+func TestLaterTellerReplacesEarlier(t *testing.T) {
+	is := is.New(t)
+	network := fleet(t, 14, 4, "a-1")
+	node := network.Nodes[0]
+	for _, teller := range network.Nodes[1:3] {
+		node.Member.Receive(network.Now, teller.Record.Addr, &member.Message{
+			Kind: member.KindGossip, From: teller.Record.ID, Revision: 9,
+		})
+		is.Equal(node.Member.Newest(), member.Newest{Revision: 9, Addr: teller.Record.Addr})
+	}
+	node.Member.Receive(network.Now, network.Nodes[3].Record.Addr, &member.Message{
+		Kind: member.KindGossip, From: network.Nodes[3].Record.ID, Revision: 8,
+	})
+	is.Equal(node.Member.Newest().Revision, uint64(9)) // never back
+}
--- a/lab/control/real.go
+++ b/lab/control/real.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -12,10 +13,14 @@
 	"syscall"
 	"time"
 
+	"github.com/dghubble/sling"
 	"github.com/pkg/errors"
 
 	"fuchsiavane.org/lab/platformsim"
+	"fuchsiavane.org/node/admin"
+	"fuchsiavane.org/node/edit"
 	"fuchsiavane.org/node/freeport"
+	"fuchsiavane.org/node/platform"
 	"fuchsiavane.org/node/platform/memstore"
 )
 
@@ -24,6 +29,12 @@
 	realSettle = 30 * time.Second
 	// realTime is how long they are measured.
 	realTime = 30 * time.Second
+	// edits is the number of edits whose spread is measured, and spreadBound
+	// the stated bound for each.
+	edits       = 10
+	spreadBound = 6 * time.Second
+	// pollTime is the pause between looks at a daemon's revision.
+	pollTime = 2 * time.Millisecond
 )
 
 // Real is what an idle real daemon costs, all its duties included.
@@ -37,11 +48,17 @@
 	ResidentBytes float64
 	// StoreCallsPerSecond is of all daemons together, a waiting watch as one.
 	StoreCallsPerSecond float64
+	// Spread has, for each of some edits one after the other, the time from the
+	// accepted edit until every daemon has it in force.
+	Spread []time.Duration
+	// SpreadCalls is the store calls that one edit costs, beside the edit's own.
+	SpreadCalls float64
 }
 
 // MeasureReal runs daemons of a binary in two data centres and measures them.
 func MeasureReal(binary string, n int) (Real, error) {
-	sim := platformsim.New(memstore.New())
+	kept := memstore.New()
+	sim := platformsim.New(kept)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return Real{}, errors.WithStack(err)
@@ -57,7 +74,45 @@
 		}
 	}
 	time.Sleep(realSettle)
-	return daemons.measure(sim)
+	r, err := daemons.measure(sim)
+	if err != nil {
+		return r, err
+	}
+	return r, daemons.measureSpread(&r, sim, kept)
+}
+
+// measureSpread makes edits directly in the store, so that only what the daemons
+// ask is counted.
+func (p *processes) measureSpread(r *Real, sim *platformsim.Server, store platform.Store) error {
+	before := sim.Stats()
+	for i := range edits {
+		document := fmt.Sprintf(`{"settings": {"slots": %d}}`, i+1)
+		head, err := edit.Apply(context.Background(), store, []byte(document), "control", nil)
+		if err != nil {
+			return err
+		}
+		start := time.Now()
+		for _, admin := range p.admins {
+			if err := awaitRevision(admin, head.Revision, start.Add(spreadBound)); err != nil {
+				return err
+			}
+		}
+		r.Spread = append(r.Spread, time.Since(start))
+	}
+	after := sim.Stats()
+	r.SpreadCalls = float64(after.Reads+after.Watches-before.Reads-before.Watches) / edits
+	return nil
+}
+
+func awaitRevision(addr string, revision uint64, end time.Time) error {
+	for time.Now().Before(end) {
+		var status admin.Status
+		if _, err := sling.New().Get("http://" + addr + "/status").ReceiveSuccess(&status); err == nil && status.SettingsRevision >= revision {
+			return nil
+		}
+		time.Sleep(pollTime)
+	}
+	return errors.Errorf("the daemon at %s did not get revision %d within %v", addr, revision, spreadBound)
 }
 
 // processes are the daemons started, with their admin addresses.
--- a/lab/control/report.go
+++ b/lab/control/report.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -137,9 +138,10 @@
 // PrintReal prints what real daemons cost.
 func PrintReal(w io.Writer, rows []Real) {
 	fmt.Fprint(w, "\nIdle real daemons in two data centres, whole process:\n\n")
-	fmt.Fprintln(w, "| daemons | membership B/s | messages/s | core | resident MB | store calls/s of all |")
-	fmt.Fprintln(w, "|---|---|---|---|---|---|")
+	fmt.Fprintln(w, "| daemons | membership B/s | messages/s | core | resident MB | store calls/s of all | edit in force at all, most | store calls an edit |")
+	fmt.Fprintln(w, "|---|---|---|---|---|---|---|---|")
 	for _, r := range rows {
-		fmt.Fprintf(w, "| %d | %.0f | %.2f | %.2f%% | %.1f | %.2f |\n", r.Daemons, r.BytesPerSecond, r.MessagesPerSecond, 100*r.Core, r.ResidentBytes/(1<<20), r.StoreCallsPerSecond)
+		fmt.Fprintf(w, "| %d | %.0f | %.2f | %.2f%% | %.1f | %.2f | %v | %.1f |\n", r.Daemons, r.BytesPerSecond, r.MessagesPerSecond,
+			100*r.Core, r.ResidentBytes/(1<<20), r.StoreCallsPerSecond, slices.Max(r.Spread).Round(time.Millisecond), r.SpreadCalls)
 	}
 }
--- a/node/settingsync/sync_test.go
+++ b/node/settingsync/sync_test.go
@@ -11,6 +11,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/matryer/is"
 
 	"fuchsiavane.org/core/member"
@@ -19,6 +20,7 @@
 	"fuchsiavane.org/node/metrics"
 	"fuchsiavane.org/node/platform"
 	"fuchsiavane.org/node/platform/memstore"
+	"fuchsiavane.org/node/seal"
 )
 
 // fakePeers is a membership in which this member is a watcher or not.
@@ -205,6 +207,9 @@
 	a := exchange.answer(&ask{EditID: first.EditID})
 	is.True(a.Patch != nil) // the change only
 	is.True(len(a.Document) == 0 && len(a.Patch.Middle) < 10)
+	patched, err := cbor.Marshal(a)
+	is.NoErr(err)
+	t.Logf("document of %d bytes, answer of %d", len(edited), len(patched)+seal.Overhead)
 	taken, _ = pulling.Offer(head)
 	is.True(taken)
 	taken, _ = pulling.Offer(first)
