--- a/lab/pages/pages_test.go
+++ b/lab/pages/pages_test.go
@@ -261,3 +261,19 @@
 		}
 	}
 }
+
+// The index of each folder of pages lists all of them by their titles.
+func TestIndexes(t *testing.T) {
+	for index, folder := range map[string]string{
+		"docs/ARCHITECTURE.md": "docs/design",
+		"docs/OPERATIONS.md":   "docs/operations",
+		"docs/MEASUREMENTS.md": "docs/measurements",
+	} {
+		var b strings.Builder
+		walk(t, folder, ".md", func(name string) {
+			first, _, _ := strings.Cut(read(t, name), "\n")
+			fmt.Fprintf(&b, "- [%s](%s)\n", strings.TrimPrefix(first, "# "), strings.TrimPrefix(name, "docs/"))
+		})
+		checkTable(t, index, b.String())
+	}
+}
