--- a/node/demo/demo.go
+++ b/node/demo/demo.go
@@ -29,6 +29,8 @@
 const (
 	// startTimeout bounds the start of the system.
 	startTimeout = 10 * time.Second
+	// pollPause is the pause between looks at the start.
+	pollPause = 50 * time.Millisecond
 	// calmTime and floodTime are the lengths of the two parts of the run.
 	calmTime  = 2 * time.Second
 	floodTime = 4 * time.Second
@@ -73,6 +75,9 @@
 	if err := s.ready(ctx); err != nil {
 		return err
 	}
+	if err := s.warm(ctx); err != nil {
+		return err
+	}
 	fmt.Fprint(out, introduction)
 	calm := load(ctx, s.entries, calmTime, false)
 	flood := load(ctx, s.entries, floodTime, true)
@@ -172,13 +177,42 @@
 				return err
 			case <-ctx.Done():
 				return errors.Errorf("daemon at %s did not find its peers within %v", addr, startTimeout)
-			case <-time.After(50 * time.Millisecond):
+			case <-time.After(pollPause):
+			}
+		}
+	}
+	return nil
+}
+
+// warm calls each kind at each entry until it is answered whole: new daemons
+// first claim the keys of non-idempotent requests.
+func (s *system) warm(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	client := &http.Client{}
+	for _, entry := range s.entries {
+		for i, k := range calmKinds {
+			if err := warmOne(ctx, client, entry, k, i); err != nil {
+				return err
 			}
 		}
 	}
 	return nil
 }
 
+func warmOne(ctx context.Context, client *http.Client, entry string, k kind, i int) error {
+	for {
+		if status, _ := send(client, entry, k, i); status == http.StatusOK {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return errors.Errorf("%s %s at %s was not answered within %v", k.method, k.path, entry, startTimeout)
+		case <-time.After(pollPause):
+		}
+	}
+}
+
 func (s *system) close() {
 	s.stop()
 	s.group.Wait()
