--- a/lab/pages/pages_test.go
+++ b/lab/pages/pages_test.go
@@ -157,6 +157,7 @@
 
 var (
 	markdownLink = regexp.MustCompile(`\]\(([^)#]+)(#[^)]*)?\)`)
+	exportedName = regexp.MustCompile(`\.[A-Z]\w*(\.\w+)?$`)
 	namedPath    = regexp.MustCompile("`((?:docs|core|node|lab)/[A-Za-z0-9_./-]+)`")
 )
 
@@ -171,7 +172,8 @@
 			mustExist(t, page, filepath.Join(filepath.Dir(page), m[1]))
 		}
 		for _, m := range namedPath.FindAllStringSubmatch(text, -1) {
-			mustExist(t, page, strings.TrimSuffix(m[1], "/..."))
+			name := exportedName.ReplaceAllString(m[1], "")
+			mustExist(t, page, strings.TrimSuffix(name, "/..."))
 		}
 	}
 }
@@ -259,3 +261,19 @@
 		}
 	}
 }
+
+// The index of each folder of pages lists all of them by their titles.
+func TestIndexes(t *testing.T) {
+	for index, folder := range map[string]string{
+		"docs/ARCHITECTURE.md": "docs/design",
+		"docs/OPERATIONS.md":   "docs/operations",
+		"docs/MEASUREMENTS.md": "docs/measurements",
+	} {
+		var b strings.Builder
+		walk(t, folder, ".md", func(name string) {
+			first, _, _ := strings.Cut(read(t, name), "\n")
+			fmt.Fprintf(&b, "- [%s](%s)\n", strings.TrimPrefix(first, "# "), strings.TrimPrefix(name, "docs/"))
+		})
+		checkTable(t, index, b.String())
+	}
+}
