--- a/lab/experiment/table.go
+++ b/lab/experiment/table.go
@@ -30,6 +30,10 @@
 trigger's end until the part of requests served stays at 95%% of the former or more.
 Ranks: ruling (floor 0.2, protected), lookup (0.4), bulk (0.1). A resend by a caller counts for its request.
 
+Without fuchsiavane each hop sends a failed call once more, waits a second for an answer, and nothing is cancelled; the static
+limit has a queue of four times its length. With it, the deadline is handed down, ended requests are cancelled, and retries are
+bounded by a ratio of 0.1 and a budget of 2. The bound on callers' own resends (429) is left out.
+
 `
 
 func reportScenario(out io.Writer, seed uint64, s Scenario) error {
