--- a/core/admission/admission_test.go
+++ b/core/admission/admission_test.go
@@ -111,8 +111,13 @@
 // while the calm ones, then for a time the others. It returns the runs completed
 // in that time by rank as parts of the capacity.
 func load(slots int, calm, rates []float64, length time.Duration) []float64 {
+	return loadRanks(threeRanks, slots, calm, rates, length)
+}
+
+// loadRanks is load with given ranks.
+func loadRanks(ranksOf []Rank, slots int, calm, rates []float64, length time.Duration) []float64 {
 	const work, tick = 100 * time.Millisecond, time.Millisecond
-	c := New(start, Config{Slots: slots, Queue: 50 * time.Millisecond, Ranks: threeRanks})
+	c := New(start, Config{Slots: slots, Queue: 50 * time.Millisecond, Ranks: ranksOf})
 	begin := start.Add(5 * time.Second)
 	random := make([]*rand.Rand, len(rates))
 	for i := range random {
@@ -194,6 +199,31 @@
 	is.True(got[0]+got[1]+got[2] >= 0.9) // unused shares are lent
 }
 
+// Whatever the shares and the slots, each rank keeps its floor while all ask for
+// more than everything.
+func TestFloorsWithAnyShares(t *testing.T) {
+	random := rand.New(rand.NewPCG(7, 8))
+	for range 8 {
+		slots := 8 + random.IntN(40)
+		ranks := make([]Rank, 2+random.IntN(3))
+		calm := make([]float64, len(ranks))
+		flood := make([]float64, len(ranks))
+		left := 0.9
+		for i := range ranks {
+			ranks[i].Share = left * (0.1 + 0.5*random.Float64())
+			left -= ranks[i].Share
+			calm[i], flood[i] = 0.1, 1+9*random.Float64()
+		}
+		t.Run(fmt.Sprint(slots, ranks), func(t *testing.T) {
+			got := loadRanks(ranks, slots, calm, flood, 20*time.Second)
+			t.Log(got)
+			for i, rank := range ranks {
+				is.New(t).True(got[i] >= rank.Share)
+			}
+		})
+	}
+}
+
 func TestUnusedSharesAreLent(t *testing.T) {
 	is := is.New(t)
 	got := load(20, []float64{0, 0, 0.5}, []float64{0, 0, 3}, 10*time.Second)
