Count slots kept for protected ranks as used; don't retry what the level refuses

Cause: the slot kept free for a protected rank looked idle, so the level let in more than could run: with 4 slots a third of what passed was shed again. And a request that a level refuses was sent to another instance, which refuses it too, or, where there is none, its answer was replaced by one without level.

Change: kept slots count as used; an overload answer whose level refuses the request is final.

--- a/core/admission/share.go
+++ b/core/admission/share.go
@@ -97,7 +97,7 @@
 	}
 	c.usage.since = now
 	slots := float64(c.limiter.Limit(now))
-	c.usage.used += min(float64(len(c.running)), slots) * elapsed.Seconds()
+	c.usage.used += min(float64(len(c.running)+c.reserved(now)), slots) * elapsed.Seconds()
 	c.usage.slots += slots * elapsed.Seconds()
 	fade := math.Exp2(-float64(elapsed) / float64(countHalving))
 	peakFade := math.Exp2(-float64(elapsed) / float64(peakHalving))
@@ -234,6 +234,18 @@
 	return k.deficit > 0 && float64(k.running) < 2*floor
 }
 
+// reserved returns the free slots that are kept for protected ranks.
+func (c *Controller) reserved(now time.Time) int {
+	slots := c.limiter.Limit(now)
+	total := 0
+	for i, r := range c.config.Ranks {
+		if r.Protected {
+			total += c.reserve(now, i, slots)
+		}
+	}
+	return min(total, slots/2)
+}
+
 // reserve returns the free slots that are kept for the next requests of a
 // protected rank while it has demand: one, and more if lent slots come back too
 // slowly for the queue.
--- a/lab/experiment/world.go
+++ b/lab/experiment/world.go
@@ -219,7 +219,7 @@
 	if tries == 0 {
 		w.tokens = min(w.tokens+retryRatio, tokenBurst)
 	}
-	if !a.notRun || r.ended || r.retries == 0 || w.tokens < 1 {
+	if !a.notRun || r.ended || level.Refuses(a.level, r.id) || r.retries == 0 || w.tokens < 1 {
 		return false
 	}
 	r.retries--
--- a/node/gateway/levels.go
+++ b/node/gateway/levels.go
@@ -76,6 +76,12 @@
 	return a.Outcome == call.Ran || a.Level > 0
 }
 
+// refusedByLevel reports whether an answer's level refuses the request: then other
+// instances are likely to refuse it too.
+func refusedByLevel(r *call.Request, a *call.Answer) bool {
+	return a.Refusal == call.RefusedOverload && level.Refuses(a.Level, r.ID)
+}
+
 // keyOf returns the subtree of a request: its service, and its method with the
 // first segment of its path.
 func keyOf(r *call.Request) level.Key {
--- a/node/gateway/retries.go
+++ b/node/gateway/retries.go
@@ -18,7 +18,7 @@
 	if peer == "" || answer.Refusal == call.RefusedNone || ctx.Err() != nil {
 		return false
 	}
-	if answer.Outcome != call.NotRun && !r.Idempotent {
+	if answer.Outcome != call.NotRun && !r.Idempotent || refusedByLevel(r, answer) {
 		return false
 	}
 	switch answer.Refusal {
