--- a/node/cli/apply.go
+++ b/node/cli/apply.go
@@ -63,13 +63,11 @@
 	if f.base > 0 {
 		e.Base = &f.base
 	}
-	if f.wait {
-		seen, err := c.newestRevision(ctx)
-		if err != nil {
-			return errors.Wrap(err, "nothing was changed: -wait needs a daemon")
-		}
-		e.Above = max(e.Above, seen)
+	seen, err := c.revisionInForce(ctx, f.wait)
+	if err != nil {
+		return err
 	}
+	e.Above = max(e.Above, seen)
 	head, err := edit.Make(ctx, store, e)
 	if err != nil {
 		return c.applyFailed(ctx, store, err)
@@ -84,6 +82,23 @@
 	return err
 }
 
+// revisionInForce asks the daemon, if one is given or needed, for the newest
+// revision that it knows to be in force. Only -wait can't go on without it.
+func (c *command) revisionInForce(ctx context.Context, needed bool) (uint64, error) {
+	if !needed && c.daemon == defaultDaemon {
+		return 0, nil
+	}
+	seen, err := c.newestRevision(ctx)
+	switch {
+	case err == nil:
+		return seen, nil
+	case needed:
+		return 0, errors.Wrap(err, "nothing was changed: -wait needs a daemon")
+	}
+	fmt.Fprintf(c.Err, "the revision in force is not known: %v\n", err)
+	return 0, nil
+}
+
 func (c *command) printApplied(a applied) error {
 	if c.json {
 		return c.printJSON(a)
--- a/node/cli/cli.go
+++ b/node/cli/cli.go
@@ -207,6 +207,9 @@
 	fs.StringVar(&c.platform, "platform", "", "base `URL` of the platform's store, also "+envPrefix+"_PLATFORM")
 }
 
+// defaultDaemon is the admin port of a daemon on this machine.
+const defaultDaemon = "http://127.0.0.1:7403"
+
 func (c *command) daemonFlag(fs *flag.FlagSet) {
-	fs.StringVar(&c.daemon, "daemon", "http://127.0.0.1:7403", "admin base `URL` of a daemon, also "+envPrefix+"_DAEMON")
+	fs.StringVar(&c.daemon, "daemon", defaultDaemon, "admin base `URL` of a daemon, also "+envPrefix+"_DAEMON")
 }
--- a/node/cli/cli_test.go
+++ b/node/cli/cli_test.go
@@ -216,3 +216,29 @@
 	is.True(strings.Contains(stderr.String(), "status 503"))
 	is.True(strings.Contains(out.String(), "a: "))
 }
+
+func TestStatusWarns(t *testing.T) {
+	is := is.New(t)
+	daemon := fakeAdmin(t, func() admin.Status {
+		return admin.Status{Instance: "a", Superseded: true, StoreOlder: true, StoreRevision: 3, Unreachable: []string{"north-1"}, Ejected: []string{"b", "c"}}
+	})
+	_, out, _ := run(t, "", "status", "-daemon", daemon)
+	for _, want := range []string{"holds this instance id", "revision 3", "don't answer: north-1", "they fail: b, c"} {
+		is.True(strings.Contains(out, want))
+	}
+}
+
+// Given a daemon, an edit goes above what is in force; without an answer from it
+// the edit is made all the same.
+func TestEditGoesAboveTheRevisionInForce(t *testing.T) {
+	is := is.New(t)
+	daemon := fakeAdmin(t, func() admin.Status { return admin.Status{Instance: "a", SettingsRevision: 57} })
+	store := fakeStore(t)
+	status, out, _ := run(t, "{}", "settings", "apply", "-platform", store, "-daemon", daemon, "-")
+	is.Equal(status, ExitOK)
+	is.Equal(out, "revision 58\n")
+	status, out, stderr := run(t, "{}", "settings", "apply", "-platform", store, "-daemon", "http://127.0.0.1:1", "-")
+	is.Equal(status, ExitOK)
+	is.Equal(out, "revision 59\n")
+	is.True(strings.Contains(stderr, "the revision in force is not known"))
+}
--- a/node/cli/help.go
+++ b/node/cli/help.go
@@ -80,7 +80,8 @@
 was made from; without it, the edit builds on the revision found at the start. A
 lost answer to a write that took effect is recognised as success.
 
-With -wait the command returns when the live daemons have the revision in force,
+Given a daemon, the new revision is above the newest that it knows to be in force,
+also after the store lost edits. With -wait the command returns when the live daemons have the revision in force,
 and names those that don't have it in time.`,
 		examples: []string{
 			"fuchsiavane settings apply site.json",
--- a/node/cli/status.go
+++ b/node/cli/status.go
@@ -74,12 +74,33 @@
 	}
 	fmt.Fprintf(c.Out, "%s %s: %s, settings revision %d, %d running, %d queued, %d peers\n",
 		s.Service, s.Instance, s.Life, s.SettingsRevision, s.Running, s.Queued, len(s.Peers))
+	for _, warning := range warnings(s) {
+		fmt.Fprintln(c.Out, "warning: "+warning)
+	}
 	if len(s.Peers) > maxListed && !all {
 		return c.printGroups(s.Peers)
 	}
 	return c.printPeers(s.Peers)
 }
 
+// warnings says what a daemon's status holds that an operator should look at.
+func warnings(s admin.Status) []string {
+	var found []string
+	if s.Superseded {
+		found = append(found, "another process holds this instance id")
+	}
+	if s.StoreOlder {
+		found = append(found, fmt.Sprintf("the store holds other settings (revision %d) than those in force: apply again with -wait", s.StoreRevision))
+	}
+	if len(s.Unreachable) > 0 {
+		found = append(found, "data centres that don't answer: "+strings.Join(s.Unreachable, ", "))
+	}
+	if len(s.Ejected) > 0 {
+		found = append(found, "peers that get no calls because they fail: "+strings.Join(s.Ejected, ", "))
+	}
+	return found
+}
+
 func (c *command) printPeers(peers []admin.Peer) error {
 	table := tabwriter.NewWriter(c.Out, 0, 8, 2, ' ', 0)
 	fmt.Fprintln(table, "INSTANCE\tSERVICE\tREGION\tDATA CENTRE\tSTATE\tSETTINGS")
