Count calls to owners like picked calls; no latency from refusals

Cause: nothing used the picker's Take, and a quick refusal with an unknown outcome, such as by an instance that doesn't own a key, would have counted as a latency of its upstream. Change: Begin counts a call to a peer chosen by other means, OfService lists one service's peers without the fleet; only answers of the upstream give latency.

--- a/core/route/route.go
+++ b/core/route/route.go
@@ -128,18 +128,16 @@
 	return Choice{peer.Peer, peer.tier == tierFar}, true
 }
 
-// Take counts a call to a peer that was chosen by other means. It reports
-// whether the peer is known and may get new calls.
-func (p *Picker) Take(now time.Time, serviceName, id string) (Choice, bool) {
+// Begin counts a call to a peer that was chosen by other means, such as the owner
+// of a key, as in flight there until Done.
+func (p *Picker) Begin(serviceName, id string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s := p.services[serviceName]
-	if s == nil || s.peers[id] == nil || s.peers[id].Leaving || now.Before(s.peers[id].leavingUntil) {
-		return Choice{}, false
+	if s == nil || s.peers[id] == nil {
+		return
 	}
-	peer := s.peers[id]
-	p.begin(s, peer)
-	return Choice{peer.Peer, peer.tier == tierFar}, true
+	p.begin(s, s.peers[id])
 }
 
 func (p *Picker) begin(s *service, peer *peerState) {
@@ -169,7 +167,8 @@
 
 // Result is what became of a call to a peer.
 type Result struct {
-	// Latency is the time to the head of the answer.
+	// Latency is the time to the head of the upstream's answer, 0 if the answer
+	// says nothing of it.
 	Latency time.Duration
 	// Failed is set when the peer gave no answer in time.
 	Failed bool
@@ -179,7 +178,7 @@
 	Leaving bool
 }
 
-// Done ends a call that Pick or Take counted.
+// Done ends a call that Pick or Begin counted.
 func (p *Picker) Done(now time.Time, serviceName, id string, r Result) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -211,7 +210,7 @@
 		s.leavingUntil = now.Add(drainingHold)
 	case r.Failed:
 		s.ejection.inRow++
-	case !r.Refused:
+	case !r.Refused && r.Latency > 0:
 		s.ejection.answered()
 		s.latency.add(now, latencyWindow, r.Latency.Seconds(), leastWeight)
 	}
@@ -234,7 +233,7 @@
 			peers = append(peers, peer.Peer)
 		}
 	}
-	slices.SortFunc(peers, func(a, b Peer) int { return strings.Compare(a.ID, b.ID) })
+	sortPeers(peers)
 	return peers
 }
 
@@ -262,6 +261,26 @@
 	return max(p.inRegion, 1)
 }
 
+// OfService returns the known peers of one service, sorted by id.
+func (p *Picker) OfService(serviceName string) []Peer {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.services[serviceName]
+	if s == nil {
+		return nil
+	}
+	peers := make([]Peer, 0, len(s.peers))
+	for _, peer := range s.peers {
+		peers = append(peers, peer.Peer)
+	}
+	sortPeers(peers)
+	return peers
+}
+
+func sortPeers(peers []Peer) {
+	slices.SortFunc(peers, func(a, b Peer) int { return strings.Compare(a.ID, b.ID) })
+}
+
 // Serving returns the ids of a service's peers that take new work, sorted.
 func (p *Picker) Serving(serviceName string) []string {
 	p.mu.Lock()
--- a/node/gateway/routing.go
+++ b/node/gateway/routing.go
@@ -48,6 +48,9 @@
 // caller gave up shows nothing; one that passed its deadline counts as a
 // failure, since a peer that takes calls and never answers looks so.
 func resultOf(a *call.Answer, took time.Duration) route.Result {
+	if a.Outcome != call.Ran {
+		took = 0
+	}
 	lost := a.Refusal == call.RefusedUnreachable || a.Refusal == call.RefusedDeadline
 	return route.Result{
 		Latency: took,
