Tell WebSocket faults as malformed; Retry-After with every 503

Cause: a message beyond the limit or a broken WebSocket frame ended the link as if the peer had gone, without event 304. A 503 of a draining instance had no Retry-After. The upstream saw the HTTP library's own User-Agent. Change: such errors count as malformed; 503 has Retry-After of 1 s at least; no User-Agent is added. go test -race ./link ./problem ./upstream passed.

--- a/node/link/conn.go
+++ b/node/link/conn.go
@@ -8,6 +8,8 @@
 
 import (
 	"bytes"
+	"net"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -138,6 +140,9 @@
 func (c *conn) read(handle func(wire.Frame) error) error {
 	for {
 		kind, message, err := c.ws.ReadMessage()
+		if isProtocolError(err) {
+			return errors.Wrap(ErrMalformed, err.Error())
+		}
 		if err != nil {
 			return errors.Wrap(err, "link: read")
 		}
@@ -160,6 +165,18 @@
 	}
 }
 
+// isProtocolError reports that the other side broke the WebSocket protocol or
+// sent a message beyond the limit. The library gives such errors no type, only
+// its name in front.
+func isProtocolError(err error) bool {
+	var closed *websocket.CloseError
+	var network net.Error
+	if err == nil || errors.As(err, &closed) || errors.As(err, &network) {
+		return false
+	}
+	return errors.Is(err, websocket.ErrReadLimit) || strings.HasPrefix(err.Error(), "websocket: ")
+}
+
 // heartbeat pings the connection and closes a silent one. It returns when the
 // connection ends. active reports whether calls are in progress.
 func (c *conn) heartbeat(timing Timing, active func() bool) {
--- a/node/link/link_test.go
+++ b/node/link/link_test.go
@@ -259,8 +259,12 @@
 		name   string
 		frames []*wire.Frame
 		raw    []byte
+		tcp    []byte // written below the WebSocket layer
 	}{
 		{name: "garbage", raw: []byte("\xff\x00garbage")},
+		{name: "large message", raw: make([]byte, wire.MaxMessage+1)},
+		{name: "reserved opcode", tcp: []byte{0x8f, 0x80, 0, 0, 0, 0}},
+		{name: "unmasked message", tcp: []byte{0x82, 0x01, 0}},
 		{name: "cut frame", raw: []byte{0xa1}},
 		{name: "type of the other side", frames: []*wire.Frame{{Type: wire.TypeAnswer, Stream: 1, Answer: &wire.Answer{}}}},
 		{name: "unknown type", raw: []byte{0xa1, 0x01, 0x18, 0x63}},
@@ -280,6 +284,10 @@
 			pool := newTestPool(t, "k")
 			link, err := pool.get(context.Background(), target{p.addr(), ClassUrgent})
 			is.NoErr(err)
+			if c.tcp != nil {
+				_, err := link.conn.ws.NetConn().Write(c.tcp)
+				is.NoErr(err)
+			}
 			if c.raw != nil {
 				is.NoErr(link.conn.ws.WriteMessage(websocket.BinaryMessage, c.raw))
 			}
--- a/node/problem/problem.go
+++ b/node/problem/problem.go
@@ -14,6 +14,9 @@
 // ContentType is the media type of a problem body. Source: RFC 9457, section 3.
 const ContentType = "application/problem+json"
 
+// defaultRetryAfter is the wait told with a 503 that names none.
+const defaultRetryAfter = time.Second
+
 // typePrefix begins the type URI of every problem.
 const typePrefix = "urn:fuchsiavane:problem:"
 
@@ -47,8 +50,8 @@
 	h := w.Header()
 	h.Set(call.HeaderOutcome, string(a.Outcome))
 	h.Set("Content-Type", ContentType)
-	if a.RetryAfter > 0 {
-		h.Set("Retry-After", seconds(a.RetryAfter))
+	if after := retryAfter(a); after > 0 {
+		h.Set("Retry-After", seconds(after))
 	}
 	w.WriteHeader(a.Status)
 	_ = json.NewEncoder(w).Encode(body{
@@ -60,6 +63,15 @@
 	})
 }
 
+// retryAfter returns the wait that the caller is told, 0 for none. A 503 always
+// has one.
+func retryAfter(a *call.Answer) time.Duration {
+	if a.RetryAfter == 0 && a.Status == http.StatusServiceUnavailable {
+		return defaultRetryAfter
+	}
+	return a.RetryAfter
+}
+
 // seconds rounds up to whole seconds. Source: RFC 9110, section 10.2.3.
 func seconds(d time.Duration) string {
 	return strconv.FormatInt(int64((d+time.Second-1)/time.Second), 10)
--- a/node/upstream/upstream.go
+++ b/node/upstream/upstream.go
@@ -132,6 +132,9 @@
 // identity keeps the transport from sending an empty body in chunks.
 var identity = []string{"identity"}
 
+// noUserAgent keeps the transport from adding its own name.
+var noUserAgent = []string{""}
+
 // newRequest makes the request for the upstream. Its body is never nil and has
 // no GetBody: the transport would otherwise send a GET, and any request with an
 // Idempotency-Key, a second time by itself when a kept connection breaks.
@@ -150,6 +153,9 @@
 	if len(r.Body) == 0 {
 		request.TransferEncoding = identity
 	}
+	if len(request.Header["User-Agent"]) == 0 {
+		request.Header["User-Agent"] = noUserAgent
+	}
 	request.Header.Set(callctx.Header, callctx.Context{
 		RequestID: r.ID, Run: r.Run, Rank: r.Rank, Caller: r.Caller, Deadline: r.Deadline,
 	}.Encode())
