--- a/core/member/receive.go
+++ b/core/member/receive.go
@@ -163,7 +163,9 @@
 		return
 	}
 	m.superseded = true
-	m.event(EventSuperseded, m.self.ID)
+	if !m.self.Leaving { // a successor that starts during a planned stop is no fault
+		m.event(EventSuperseded, m.self.ID)
+	}
 }
 
 func (m *Member) answerPing(from string, message *Message) []Outgoing {
--- a/lab/cmd/control/main.go
+++ b/lab/cmd/control/main.go
@@ -16,7 +16,12 @@
 	seed := flag.Uint64("seed", 1, "`seed` of the fake network")
 	binary := flag.String("daemon", "bin/fuchsiavaned", "`path` of the daemon for real processes; empty for none")
 	sizes := flag.String("daemons", "8,16,24", "`numbers` of real daemons")
+	whole := flag.Int("whole", 0, "measure only one data centre of this `number` of members, to hold the slopes against")
 	flag.Parse()
+	if *whole > 0 {
+		control.PrintWhole(os.Stdout, *seed, *whole)
+		return
+	}
 	control.PrintVirtual(os.Stdout, *seed)
 	if *binary == "" {
 		return
--- a/lab/control/report.go
+++ b/lab/control/report.go
@@ -31,21 +31,34 @@
 	printFleet(w, quiet, changes)
 }
 
+// PrintWhole measures one data centre of a size that the slopes are worked out
+// for.
+func PrintWhole(w io.Writer, seed uint64, members int) {
+	printQuietRows(w, []Quiet{MeasureQuiet(seed, 1, members)})
+	printChangeRows(w, []Change{
+		MeasureReplacement(seed, 1, members, 1), MeasureCrash(seed, 1, members), MeasureHeal(seed, 2, members/2), MeasureHeal(seed, 1, members),
+	})
+}
+
 func printQuiet(w io.Writer, seed uint64) []Quiet {
-	fmt.Fprint(w, "A quiet fleet, per member, sent and received, IP and UDP headers included:\n\n")
-	fmt.Fprintln(w, "| data centres x members | B/s mean | B/s relay | B/s most | messages/s mean | relay | core mean | core relay | heap KB |")
-	fmt.Fprintln(w, "|---|---|---|---|---|---|---|---|---|")
 	var rows []Quiet
 	for _, n := range sizes {
 		rows = append(rows, MeasureQuiet(seed, 1, n))
 	}
 	rows = append(rows, MeasureQuiet(seed, measuredCentres, measuredInCentres/2), MeasureQuiet(seed, measuredCentres, measuredInCentres))
+	printQuietRows(w, rows)
+	return rows
+}
+
+func printQuietRows(w io.Writer, rows []Quiet) {
+	fmt.Fprint(w, "A quiet fleet, per member, sent and received, IP and UDP headers included:\n\n")
+	fmt.Fprintln(w, "| data centres x members | B/s mean | B/s relay | B/s most | messages/s mean | relay | core mean | core relay | heap KB |")
+	fmt.Fprintln(w, "|---|---|---|---|---|---|---|---|---|")
 	for _, q := range rows {
 		fmt.Fprintf(w, "| %d x %d | %.0f | %.0f | %.0f | %.2f | %.2f | %.4f%% | %.4f%% | %.0f |\n", q.Centres, q.PerCentre,
 			q.Mean.BytesPerSecond, q.Relay.BytesPerSecond, q.Most.BytesPerSecond,
 			q.Mean.MessagesPerSecond, q.Relay.MessagesPerSecond, 100*q.Mean.Core, 100*q.Relay.Core, q.MemoryBytes/1024)
 	}
-	return rows
 }
 
 func printChanges(w io.Writer, seed uint64) []Change {
@@ -59,6 +72,11 @@
 		MeasureHeal(seed, 2, 8), MeasureHeal(seed, 2, 32), MeasureHeal(seed, 2, 128), MeasureHeal(seed, measuredCentres, measuredInCentres),
 		MeasureHeal(seed, 1, 16), MeasureHeal(seed, 1, 64), MeasureHeal(seed, 1, 256),
 	)
+	printChangeRows(w, rows)
+	return rows
+}
+
+func printChangeRows(w io.Writer, rows []Change) {
 	fmt.Fprint(w, "\nWhat one event costs each member beyond that:\n\n")
 	fmt.Fprintln(w, "| event | data centres x members | bytes mean | messages mean | bytes most, with the quiet part | until all agree |")
 	fmt.Fprintln(w, "|---|---|---|---|---|---|")
@@ -72,7 +90,6 @@
 		}
 		fmt.Fprintf(w, "| %s | %d x %d | %.0f | %.1f | %.0f | %s |\n", c.Name, c.Centres, c.PerCentre, c.Bytes, c.Messages, c.MostBytes, took)
 	}
-	return rows
 }
 
 func printSpread(w io.Writer, seed uint64) {
--- a/node/membership/membership.go
+++ b/node/membership/membership.go
@@ -120,6 +120,8 @@
 		stopped:  make(chan struct{}),
 	}
 	d.publish()
+	c.Metrics.Gauge("fuchsiavane_members", func() float64 { return float64(len(d.View().Peers)) })
+	c.Metrics.Gauge("fuchsiavane_data_centres_unreachable", func() float64 { return float64(len(d.View().Unreachable)) })
 	return d
 }
 
