Bound the rumours that wait, and the comparisons after much news

Cause: the end of a split inside a data centre of 256 cost each member 467 KB. Change: at most 24 rumours wait, digests carry on what is given up; much news leads to immediate digests once a second at most.

--- a/core/member/gossip.go
+++ b/core/member/gossip.go
@@ -145,6 +145,10 @@
 // compareSoon asks some members for a comparison now, and once more shortly.
 func (m *Member) compareSoon() []Outgoing {
 	m.hurry()
+	if m.now-m.compared < digestSoon {
+		return nil
+	}
+	m.compared = m.now
 	var out []Outgoing
 	for _, e := range m.sample(m.peersHere(), gossipFanout) {
 		out = append(out, m.digest(e.Addr))
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -23,6 +23,8 @@
 	// merged counts the news since the last digest, and soon the digests that
 	// still follow quickly because there was much.
 	merged, soon int
+	// compared is when many changes last made this member ask for digests.
+	compared time.Duration
 	// announce counts the rounds in which the own revision is still told.
 	announce int
 
--- a/core/member/rumour.go
+++ b/core/member/rumour.go
@@ -12,8 +12,8 @@
 	left int
 }
 
-// rumours is the news that this member still spreads. A member has one rumour
-// at most, so the queue is bounded by the view.
+// rumours is the news that this member still spreads. Beyond maxRumours the one
+// that was sent most is given up: digests carry it on.
 type rumours struct {
 	queue []rumour
 }
@@ -21,6 +21,10 @@
 func (q *rumours) add(id string, members int) {
 	q.drop(id)
 	q.queue = append(q.queue, rumour{id, retransmits(members)})
+	if len(q.queue) > maxRumours {
+		slices.SortStableFunc(q.queue, func(a, b rumour) int { return cmp.Compare(b.left, a.left) })
+		q.queue = q.queue[:maxRumours]
+	}
 }
 
 func (q *rumours) drop(id string) {
--- a/core/member/timing.go
+++ b/core/member/timing.go
@@ -76,6 +76,8 @@
 	// maxRumourBytes bounds the rumours of one message, so that it fits a
 	// datagram of 1,200 bytes.
 	maxRumourBytes = 700
+	// maxRumours bounds the rumours that wait to be sent.
+	maxRumours = 24
 	// maxAge caps the age of a contact in a message, in units of ageUnit.
 	maxAge = math.MaxUint16
 	// maxProbesForOthers bounds the probes done for others at one time.
