Tell a caller in a hurry from an upstream that is overloaded

Change: such a run is a sample of latency, and only if it lasted longer than runs of its rank usually do. A configuration that changes nothing leaves the limiter's window alone. Test: half of the runs time out at a tenth of the usual latency and the limit stays at the slots.

--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -97,8 +97,11 @@
 type Sample struct {
 	// Latency is the time that the upstream took to answer.
 	Latency time.Duration
-	// Overloaded is set when the upstream refused or timed out.
+	// Overloaded is set when the upstream refused.
 	Overloaded bool
+	// TimedOut is set when the deadline ended the run: Latency is then the least
+	// that it would have taken.
+	TimedOut bool
 	// Abandoned runs were given up and tell nothing about the upstream.
 	Abandoned bool
 }
@@ -207,20 +210,28 @@
 		return nil
 	}
 	c.advance(now)
-	if !s.Abandoned {
-		c.limiter.Record(now, limit.Sample{
-			Rank: finished.rank, Latency: s.Latency, Running: len(c.running), Overloaded: s.Overloaded,
-		})
-	}
-	if !s.Abandoned && !s.Overloaded {
-		c.ranks[finished.rank].service.observe(now, s.Latency)
-		c.service.observe(now, s.Latency)
-	}
+	c.learn(now, finished.rank, s)
 	delete(c.running, t)
 	c.ranks[finished.rank].running--
 	return c.fill(now)
 }
 
+// learn takes in what a run tells about the upstream. A run that timed out sooner
+// than runs usually end tells only that its caller was in a hurry.
+func (c *Controller) learn(now time.Time, rank int, s Sample) {
+	service := &c.ranks[rank].service
+	if s.Abandoned || s.TimedOut && s.Latency.Seconds() <= service.mean {
+		return
+	}
+	c.limiter.Record(now, limit.Sample{
+		Rank: rank, Latency: s.Latency, Running: len(c.running), Overloaded: s.Overloaded,
+	})
+	if !s.Overloaded && !s.TimedOut {
+		service.observe(now, s.Latency)
+		c.service.observe(now, s.Latency)
+	}
+}
+
 // Cancel withdraws a queued request and reports whether it was still queued.
 func (c *Controller) Cancel(t Ticket) bool {
 	w := c.waiting[t]
--- a/core/admission/admission_test.go
+++ b/core/admission/admission_test.go
@@ -56,6 +56,22 @@
 	is.Equal(c.Offer(later, doomed).Verdict, Admitted)
 }
 
+func TestCallersInAHurryDoNotLowerTheLimit(t *testing.T) {
+	is := is.New(t)
+	c := New(start, Config{Slots: 10, Queue: time.Second})
+	now := start
+	for i := range 2000 {
+		d := c.Offer(now, request(i, 0, now))
+		now = now.Add(10 * time.Millisecond)
+		s := Sample{Latency: 100 * time.Millisecond}
+		if i%2 == 1 {
+			s = Sample{Latency: 10 * time.Millisecond, TimedOut: true}
+		}
+		c.Finish(now, d.Ticket, s)
+	}
+	is.Equal(c.Limit(now), 10)
+}
+
 func TestCallersOfARankShareFairly(t *testing.T) {
 	is := is.New(t)
 	c := New(start, Config{Slots: 1, Queue: time.Second})
--- a/core/limit/limit.go
+++ b/core/limit/limit.go
@@ -72,7 +72,7 @@
 	Latency time.Duration
 	// Running is the number of runs when this one ended, itself included.
 	Running int
-	// Overloaded is set when the upstream refused the run or let it time out.
+	// Overloaded is set when the upstream refused the run.
 	Overloaded bool
 }
 
@@ -129,6 +129,9 @@
 func (l *Limiter) Configure(now time.Time, config Config) {
 	config.Most = max(config.Most, 1)
 	config.Ranks = max(config.Ranks, 1)
+	if config == l.config {
+		return
+	}
 	if config.Most != l.config.Most {
 		l.limit = float64(config.Most)
 		l.trial = nil
--- a/node/upstream/end.go
+++ b/node/upstream/end.go
@@ -13,7 +13,7 @@
 // endOfError says what a run without an answer tells about the upstream.
 func endOfError(run *runs.Run, err error) End {
 	if errors.Is(err, context.DeadlineExceeded) && !run.Refused() {
-		return EndOverloaded
+		return EndTimedOut
 	}
 	return EndAbandoned
 }
--- a/node/upstream/gate.go
+++ b/node/upstream/gate.go
@@ -52,8 +52,10 @@
 const (
 	// EndAnswered runs got an answer.
 	EndAnswered End = iota
-	// EndOverloaded runs were refused by the upstream or timed out there.
+	// EndOverloaded runs were refused by the upstream.
 	EndOverloaded
+	// EndTimedOut runs were ended by their deadline.
+	EndTimedOut
 	// EndAbandoned runs were given up, or failed by what they called.
 	EndAbandoned
 )
@@ -144,7 +146,8 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.deliver(g.controller.Finish(now, p.ticket, admission.Sample{
-		Latency: latency, Overloaded: end == EndOverloaded, Abandoned: end == EndAbandoned,
+		Latency: latency, Overloaded: end == EndOverloaded,
+		TimedOut: end == EndTimedOut, Abandoned: end == EndAbandoned,
 	}))
 }
 
