--- a/core/admission/share.go
+++ b/core/admission/share.go
@@ -21,9 +21,12 @@
 	debtTime = 300 * time.Millisecond
 	// marginFactor is what a floor is made larger by in the account, in square
 	// roots of its slots, so that chance doesn't bring a rank below it.
-	marginFactor = 0.08
+	marginFactor = 0.12
 	// idleHalving is the time in which a deficit halves while a rank has no demand.
 	idleHalving = 200 * time.Millisecond
+	// owedGain is how much more of its floor a rank is let through per part of the
+	// credit that it is owed.
+	owedGain = 3
 	// spareFactor is the load, in square roots of the slots of a floor, that is let
 	// through beyond it.
 	spareFactor = 1.2
@@ -112,9 +115,10 @@
 	}
 }
 
+// account adds to a rank's deficit what its floor in slots earned in a time, and
+// takes off what it ran.
 func (c *Controller) account(now time.Time, i int, floor float64, elapsed time.Duration) {
 	k := c.ranks[i]
-	// What was borrowed is forgotten, but for the run that a part of a slot pays.
 	debt := max(2*k.service.estimate(now).Seconds(), floor*debtTime.Seconds())
 	k.deficit += (floor + marginFactor*math.Sqrt(floor) - float64(k.running)) * elapsed.Seconds()
 	k.deficit = min(max(k.deficit, -debt), credit(floor))
@@ -147,7 +151,7 @@
 		service = &c.service
 	}
 	floor := c.config.Ranks[i].Share * slots
-	owed := min(3*max(k.deficit, 0)/credit(floor), 1)
+	owed := min(owedGain*max(k.deficit, 0)/credit(floor), 1)
 	spare := spareFactor * math.Sqrt(floor)
 	return service.served(floor*(1+owed)+spare, level.Interval)
 }
@@ -173,6 +177,7 @@
 	}
 }
 
+// expire refuses queued requests whose time is over.
 func (c *Controller) expire(now time.Time) []Grant {
 	var grants []Grant
 	for len(c.expiry) > 0 && c.expiry[0].expires.Before(now) {
--- a/core/level/level_test.go
+++ b/core/level/level_test.go
@@ -62,6 +62,30 @@
 	is.Equal(m.Level(0), Level(0))
 }
 
+// A rank without a floor that lost all it let through, and then asks for little,
+// is served again soon after slots are idle.
+func TestMeterForgetsLossesOfARankThatAsksForLittle(t *testing.T) {
+	is := is.New(t)
+	m := NewMeter(1)
+	now := start
+	step := func(used float64) {
+		now = now.Add(Interval)
+		m.Step(now, used, func(int) float64 { return 0 })
+	}
+	for range 30 {
+		for range 100 {
+			m.Passed(0)
+			m.Shed(0)
+		}
+		step(1)
+	}
+	is.True(Pass(m.Level(0)) < 0.01)
+	for range 50 {
+		step(0.5) // at 1 in 1024, no request happens to pass
+	}
+	is.Equal(m.Level(0), Level(0))
+}
+
 func TestViewFadesWithoutNews(t *testing.T) {
 	is := is.New(t)
 	v := NewView()
--- a/core/level/meter.go
+++ b/core/level/meter.go
@@ -20,7 +20,7 @@
 	shortMemory = 0.5
 	muchLost    = 0.3
 	fewUsed     = 0.75
-	// rebound bounds the rise by idle slots in one step.
+	// rebound bounds the rise by idle slots, or without news, in one step.
 	rebound = 1.5
 	// target is the part of the slots in use that is aimed at.
 	target = 0.99
@@ -83,6 +83,11 @@
 // step sets the part let through to what the slots take of the demand.
 func (r *meterRank) step(used, floor float64) {
 	r.remember(used)
+	if r.demand == 0 {
+		// Without news, ask for some.
+		r.pass = min(r.pass*rebound, 1)
+		return
+	}
 	lossless := r.shed <= losslessPart*r.passed
 	room := min(max(target/max(used, leastPass), 1), rebound)
 	supply := max(r.passed-r.shed, 0) * room
@@ -91,10 +96,7 @@
 	if lossless {
 		more = seeking
 	}
-	next := 0.0
-	if r.demand > 0 {
-		next = supply * (1 + more) / r.demand
-	}
+	next := supply * (1 + more) / r.demand
 	if lossless {
 		// The counts of a rank with few requests lag behind.
 		next = max(next, r.pass*room)
@@ -105,7 +107,7 @@
 // remember takes the counts since the last step in.
 func (r *meterRank) remember(used float64) {
 	kept := memory
-	if r.passed < fewRequests {
+	if r.passed < fewRequests && r.newPassed > 0 {
 		kept = longMemory
 	}
 	if r.newShed > muchLost*r.newPassed || used < fewUsed {
@@ -116,6 +118,10 @@
 	r.demand = r.demand*kept + r.newPassed/r.pass
 	r.weight = r.weight*kept + 1
 	r.newPassed, r.newShed = 0, 0
+	if r.passed < 1 {
+		// What was lost long ago says nothing about now.
+		r.passed, r.shed, r.demand, r.weight = 0, 0, 0, 0
+	}
 }
 
 // Level returns the level that answers of a rank carry.
