Look at the queue often only while requests wait

Change: the gate has a duty of its own that a waiting request wakes; it looks every 5 ms while requests wait and every 100 ms otherwise, and it runs through a planned stop, where two other loops did its work before.

--- a/node/daemon/daemon.go
+++ b/node/daemon/daemon.go
@@ -29,9 +29,6 @@
 // Version is the version of the program.
 const Version = "0.1.0"
 
-// tickInterval is the pause between looks at queued requests.
-const tickInterval = 5 * time.Millisecond
-
 // Daemon is one fuchsiavaned.
 type Daemon struct {
 	config   config.Config
@@ -114,9 +111,9 @@
 	defer stop()
 	var group sync.WaitGroup
 	d.shared.start()
-	group.Go(func() { d.tick(duties) })
 	group.Go(func() { d.shareLink(duties) })
 	group.Go(func() { d.keeper.Run(duties) })
+	stopGate := d.runGate()
 	failed := d.ports.serve()
 	d.log.Log(event.DaemonStarted).Str("service", d.config.Service).Str("peer_listen", d.config.PeerListen).Msg("daemon started")
 	select {
@@ -126,9 +123,22 @@
 		d.log.Log(event.PortFailed).Err(err).Msg("a port failed")
 	}
 	d.leave(stop, &group)
+	stopGate()
 	return err
 }
 
+// runGate starts the gate's duty, which also serves the requests that a planned
+// stop waits for. It returns the function that ends it.
+func (d *Daemon) runGate() func() {
+	ctx, cancel := context.WithCancel(context.Background())
+	var group sync.WaitGroup
+	group.Go(func() { d.gate.Run(ctx) })
+	return func() {
+		cancel()
+		group.Wait()
+	}
+}
+
 // Drain begins a planned stop.
 func (d *Daemon) Drain() {
 	d.drainOnce.Do(func() {
@@ -137,19 +147,6 @@
 	})
 }
 
-func (d *Daemon) tick(ctx context.Context) {
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-ticker.C:
-			d.gate.Tick(now)
-		}
-	}
-}
-
 var _ admin.Daemon = (*Daemon)(nil)
 
 // Ready implements admin.Daemon.
--- a/node/daemon/drain.go
+++ b/node/daemon/drain.go
@@ -13,6 +13,8 @@
 	// and requests are still run, so that none is refused because the news had
 	// not reached its sender.
 	noticeTime = time.Second
+	// finishInterval is the pause between looks at what still runs.
+	finishInterval = 5 * time.Millisecond
 	// linksTime bounds the wait for the peers to close their links.
 	linksTime = 3 * time.Second
 )
@@ -47,7 +49,6 @@
 	d.ports.closeAfterAnswer()
 	ctx, cancel := context.WithTimeout(ctx, noticeTime)
 	defer cancel()
-	go d.tick(ctx)
 	d.shared.members.Leave(ctx)
 	<-ctx.Done()
 }
@@ -62,14 +63,13 @@
 
 // finish waits until nothing runs at the upstream.
 func (d *Daemon) finish(ctx context.Context) {
-	ticker := time.NewTicker(tickInterval)
+	ticker := time.NewTicker(finishInterval)
 	defer ticker.Stop()
 	for d.runner.InFlight() > 0 {
 		select {
 		case <-ctx.Done():
 			return
-		case now := <-ticker.C:
-			d.gate.Tick(now)
+		case <-ticker.C:
 		}
 	}
 }
--- a/node/upstream/gate.go
+++ b/node/upstream/gate.go
@@ -15,6 +15,9 @@
 // of the setting hours, whose times are whole minutes.
 const sharesInterval = 10 * time.Second
 
+// queuedInterval is the pause between looks at the queue while requests wait.
+const queuedInterval = 5 * time.Millisecond
+
 // Gate holds the admission controller of the upstream and lets requests wait
 // for its grants. It is safe for concurrent use.
 type Gate struct {
@@ -26,12 +29,19 @@
 	revision   uint64
 	configured time.Time
 	waiting    map[admission.Ticket]chan admission.Reason
+	// queued holds a token when a request began to wait since the last look.
+	queued chan struct{}
 }
 
 // NewGate returns a Gate for the upstream of a service.
 func NewGate(service string, holder *settingsync.Holder) *Gate {
 	now := time.Now()
-	g := &Gate{service: service, settings: holder, waiting: map[admission.Ticket]chan admission.Reason{}}
+	g := &Gate{
+		service:  service,
+		settings: holder,
+		waiting:  map[admission.Ticket]chan admission.Reason{},
+		queued:   make(chan struct{}, 1),
+	}
 	g.controller = admission.New(now, g.config(now))
 	return g
 }
@@ -72,6 +82,7 @@
 	if d.Verdict == admission.Queued {
 		granted = make(chan admission.Reason, 1)
 		g.waiting[d.Ticket] = granted
+		g.announceWait()
 	}
 	g.mu.Unlock()
 	reason := d.Reason
@@ -84,6 +95,15 @@
 	return &Pass{gate: g, ticket: d.Ticket, entered: time.Now()}, nil
 }
 
+// announceWait wakes Run. One token stands for all requests that begin to wait
+// before it is taken.
+func (g *Gate) announceWait() {
+	select {
+	case g.queued <- struct{}{}:
+	default:
+	}
+}
+
 // reasonCancelled says that the caller gave up while it waited.
 const reasonCancelled admission.Reason = "cancelled"
 
@@ -151,13 +171,33 @@
 	}))
 }
 
-// Tick settles queued requests whose time is over and adjusts the levels. A duty
-// calls it every few milliseconds.
-func (g *Gate) Tick(now time.Time) {
+// Run is the duty that settles queued requests whose time is over and adjusts
+// the levels, until the context ends. It looks often only while requests wait.
+func (g *Gate) Run(ctx context.Context) {
+	timer := time.NewTimer(level.Interval)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-g.queued:
+		case <-timer.C:
+		}
+		timer.Reset(g.tick(time.Now()))
+	}
+}
+
+// tick looks at the queue and the levels and returns the pause before the next
+// look.
+func (g *Gate) tick(now time.Time) time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.reconfigure(now)
 	g.deliver(g.controller.Expire(now))
+	if g.controller.Queued() > 0 {
+		return queuedInterval
+	}
+	return level.Interval
 }
 
 // Load returns the requests running and queued.
--- a/node/upstream/gate_test.go
+++ b/node/upstream/gate_test.go
@@ -26,22 +26,11 @@
 	return holder
 }
 
-// ticking calls Tick as the daemon's duty does, until stop is called.
-func ticking(g *Gate) (stop func()) {
-	done := make(chan struct{})
-	go func() {
-		ticker := time.NewTicker(5 * time.Millisecond)
-		defer ticker.Stop()
-		for {
-			select {
-			case <-done:
-				return
-			case now := <-ticker.C:
-				g.Tick(now)
-			}
-		}
-	}()
-	return func() { close(done) }
+// running runs the gate's duty until stop is called.
+func running(g *Gate) (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	go g.Run(ctx)
+	return cancel
 }
 
 func requestOf(id, rank string) *call.Request {
@@ -72,7 +61,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		g := NewGate("bench", holderOf(t, `{"settings": {"slots": 1, "slow_start_ms": 0, "queue_ms": 20}}`))
-		stop := ticking(g)
+		stop := running(g)
 		defer stop()
 		pass, _ := g.Enter(t.Context(), requestOf("1", ""))
 		defer pass.Leave(EndAnswered)
@@ -92,7 +81,7 @@
 			"settings": {"slots": 4, "slow_start_ms": 0, "queue_ms": 200, "hours": [
 				{"from": "00:01", "to": "00:10", "shares": {"bulk": 0.5}}]},
 			"ranks": [{"name": "lookup", "share": 0.1}, {"name": "bulk", "share": 0}]}`))
-		stop := ticking(g)
+		stop := running(g)
 		defer stop()
 		is.True(bulkInAFlood(t, g) < 0.1)
 		time.Sleep(2 * time.Minute)
