--- a/core/member/member_test.go
+++ b/core/member/member_test.go
@@ -360,3 +360,26 @@
 	})
 	is.Equal(node.Member.Newest().Revision, uint64(9)) // never back
 }
+
+// A successor with the same id that starts during a planned stop is no fault.
+func TestSuccessorDuringPlannedStop(t *testing.T) {
+	is := is.New(t)
+	network := fleet(t, 15, 16, "a-1")
+	network.Run(time.Minute)
+	leaver := find(network, "a-1-i0004")
+	network.Leave(leaver)
+	record := network.Record("a", "a-1", 4)
+	record.Addr = "elsewhere:7402"
+	network.Start(record, "a-1-i0000:7402")
+	_, ok := network.Until(healTarget, 100*time.Millisecond, leaver.Member.Superseded)
+	is.True(ok)
+	for _, e := range leaver.Member.Events() {
+		is.True(e.Kind != member.EventSuperseded)
+	}
+	network.Crash(leaver)
+	_, ok = network.Until(healTarget, 100*time.Millisecond, network.Agreed)
+	is.True(ok) // the successor holds the id, and is not leaving
+	p, known := peer(network.Nodes[0], "a-1-i0004")
+	is.True(known)
+	is.True(!p.Leaving)
+}
