Let calls made by a run wait longer, so that work done for them isn't lost

Change: a nested request, made by a run, waits up to four times queue_ms; the flag goes with the request over links. The dear chain is a scenario and a test.

--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -53,7 +53,8 @@
 	// Slots and Connections bound the requests that run at a time. 0
 	// connections is no bound.
 	Slots, Connections int
-	// Queue bounds the wait for a slot. 0 is no queue.
+	// Queue bounds the wait for a slot; nested requests wait up to four times as
+	// long. 0 is no queue.
 	Queue time.Duration
 	// SlowStart is the time over which a new upstream's limit rises to Slots.
 	SlowStart time.Duration
@@ -71,6 +72,9 @@
 	Caller string
 	// Deadline is the time by which the answer is needed.
 	Deadline time.Time
+	// Nested requests are made by a run. They wait longer, since refusing one
+	// wastes the work done for it.
+	Nested bool
 }
 
 // Ticket names an offered request until Finish, Cancel or a grant that refuses.
--- a/core/admission/admission_test.go
+++ b/core/admission/admission_test.go
@@ -29,6 +29,17 @@
 	is.Equal(c.Expire(start.Add(51*time.Millisecond)), []Grant{{second.Ticket, ReasonWait}})
 }
 
+func TestNestedRequestsWaitLonger(t *testing.T) {
+	is := is.New(t)
+	c := New(start, Config{Slots: 1, Queue: 50 * time.Millisecond})
+	c.Offer(start, request(1, 0, start))
+	nested := request(2, 0, start)
+	nested.Nested = true
+	d := c.Offer(start, nested)
+	is.Equal(len(c.Expire(start.Add(200*time.Millisecond))), 0)
+	is.Equal(c.Expire(start.Add(201*time.Millisecond)), []Grant{{d.Ticket, ReasonWait}})
+}
+
 func TestNoQueueRefusesAtOnce(t *testing.T) {
 	is := is.New(t)
 	c := New(start, Config{Slots: 1})
--- a/core/admission/queue.go
+++ b/core/admission/queue.go
@@ -14,6 +14,8 @@
 	flowsPerRank = 64
 	// leastQueue is the least bound of a rank's queue, in requests.
 	leastQueue = 4
+	// nestedPatience is the wait of nested requests in multiples of the others'.
+	nestedPatience = 4
 )
 
 // waiting is a queued request.
@@ -103,6 +105,9 @@
 // expiryOf returns when a queued request is given up, and why.
 func (c *Controller) expiryOf(now time.Time, r Request) (time.Time, Reason) {
 	byQueue := now.Add(c.config.Queue)
+	if r.Nested {
+		byQueue = now.Add(nestedPatience * c.config.Queue)
+	}
 	byDeadline := r.Deadline.Add(-c.ranks[r.Rank].service.estimate(now))
 	if byDeadline.Before(byQueue) {
 		return byDeadline, ReasonDeadline
--- a/core/settings/keys.go
+++ b/core/settings/keys.go
@@ -163,7 +163,7 @@
 		func(v *Values) any { return v.Connections },
 	},
 	{
-		"queue_ms", "ms", "Longest wait for a slot.", LevelService,
+		"queue_ms", "ms", "Longest wait for a slot; calls made by a run wait up to 4 times as long.", LevelService,
 		duration(0, maxDuration, func(v *Values) *time.Duration { return &v.Queue }),
 		func(v *Values) any { return v.Queue.Milliseconds() },
 	},
--- a/lab/experiment/experiment_test.go
+++ b/lab/experiment/experiment_test.go
@@ -31,6 +31,7 @@
 	resends
 	cold
 	sheds
+	dearChain
 )
 
 // forSeeds runs a scenario with some seeds. Recovery is checked in each.
@@ -68,6 +69,14 @@
 	})
 }
 
+// The same with upper services whose work is not small against the deepest's.
+func TestDeepChainWithDearUpperServices(t *testing.T) {
+	forSeeds(t, dearChain, 1, func(is *is.I, r Result) {
+		is.True(r.Goodput >= chainGoodput)
+		is.True(r.Wasted <= chainWasted)
+	})
+}
+
 func TestRecovery(t *testing.T) {
 	for _, scenario := range []int{slowDeep, surge, resends, cold, sheds} {
 		t.Run(Scenarios()[scenario].Name, func(t *testing.T) {
--- a/lab/experiment/gate.go
+++ b/lab/experiment/gate.go
@@ -109,7 +109,7 @@
 }
 
 func (g *coreGate) enter(r *request, decided func(bool)) {
-	d := g.controller.Offer(g.loop.now, admission.Request{ID: r.id, Rank: r.rank, Caller: r.caller, Deadline: r.deadline})
+	d := g.controller.Offer(g.loop.now, admission.Request{ID: r.id, Rank: r.rank, Caller: r.caller, Deadline: r.deadline, Nested: r.nested})
 	if d.Verdict != admission.Refused {
 		g.tickets[r] = d.Ticket
 	}
--- a/lab/experiment/scenario.go
+++ b/lab/experiment/scenario.go
@@ -76,6 +76,8 @@
 	// refuseAt is the number of requests from which the deepest upstream refuses
 	// by itself.
 	refuseAt int
+	// upperWork replaces the work of the services above the deepest, if not 0.
+	upperWork time.Duration
 	// resends is how often callers send a failed request again.
 	resends int
 }
@@ -106,6 +108,7 @@
 		{Name: "surge 2x, callers resend 5 times", Trigger: 5 * time.Second, demand: overall(2), resends: 5},
 		{Name: "deep service starts cold", Trigger: slowStart, demand: calm, slow: warmingUp, restarts: true},
 		{Name: "deep upstream sheds at 8 of 15", Trigger: 10 * time.Second, demand: calm, refuseAt: 8},
+		{Name: "4-deep chain, deepest at 3x, upper services work 50 ms", Trigger: 10 * time.Second, demand: overall(3), upperWork: 50 * time.Millisecond},
 	}
 }
 
--- a/lab/experiment/world.go
+++ b/lab/experiment/world.go
@@ -17,6 +17,8 @@
 	retries int
 	// work is the upstream time spent on it so far.
 	work time.Duration
+	// nested is set once a run works for it.
+	nested bool
 	// ended is set when the caller has its answer or has given up.
 	ended bool
 	whole bool
@@ -318,6 +320,7 @@
 				finish(true, 0)
 				return
 			}
+			r.nested = true
 			w.call(at.service+1, r, 0, func(a answer) { finish(a.whole, a.level) })
 		})
 		return true
@@ -332,6 +335,9 @@
 // work draws the time that a request takes: half fixed, half exponential.
 func (w *world) work(service int) time.Duration {
 	mean := float64(chain[service].work)
+	if w.scenario.upperWork > 0 && service < len(chain)-1 {
+		mean = float64(w.scenario.upperWork)
+	}
 	if w.scenario.slow != nil && w.triggered() && service == len(chain)-1 {
 		mean *= w.scenario.slow(w.since() - warmTime)
 	}
--- a/node/call/call.go
+++ b/node/call/call.go
@@ -89,6 +89,9 @@
 	Retries int
 	// Idempotent requests may run more than once.
 	Idempotent bool
+	// Nested requests are made by a run, so that refusing one wastes the work
+	// done for it.
+	Nested bool
 	// Key is the idempotency key; never empty for a non-idempotent request.
 	Key string
 	// KeyMade is set at the entry daemon if it made the key itself, so that no
--- a/node/gateway/http.go
+++ b/node/gateway/http.go
@@ -115,7 +115,7 @@
 		return nil, badRequest(err)
 	}
 	r.Header.Del(callctx.Header)
-	request := &call.Request{ID: parent.RequestID, Caller: parent.Caller, Deadline: parent.Deadline}
+	request := &call.Request{ID: parent.RequestID, Caller: parent.Caller, Deadline: parent.Deadline, Nested: true}
 	p, err := g.prepare(r, request, lessUrgent(g.Settings.Current().Document, parent.Rank, r.Header.Get(call.HeaderRank)))
 	if err != nil {
 		return nil, badRequest(err)
--- a/node/link/client.go
+++ b/node/link/client.go
@@ -213,7 +213,7 @@
 	return &wire.Request{
 		ID: r.ID, Run: r.Run, Service: r.Service, Method: r.Method, Target: r.Target, Path: r.Path,
 		Header: r.Header, Caller: r.Caller, Rank: r.Rank, TimeLeft: r.Deadline.Sub(now).Microseconds(),
-		Retries: r.Retries, Idempotent: r.Idempotent, Key: r.Key,
+		Retries: r.Retries, Idempotent: r.Idempotent, Key: r.Key, Nested: r.Nested,
 	}
 }
 
--- a/node/link/server.go
+++ b/node/link/server.go
@@ -120,7 +120,7 @@
 		ID: w.ID, Run: w.Run, Service: w.Service, Method: w.Method, Target: w.Target, Path: w.Path,
 		Header: header, Caller: w.Caller, Rank: w.Rank, Retries: w.Retries,
 		Deadline:   now.Add(time.Duration(w.TimeLeft) * time.Microsecond),
-		Idempotent: w.Idempotent, Key: w.Key,
+		Idempotent: w.Idempotent, Key: w.Key, Nested: w.Nested,
 	}
 }
 
--- a/node/upstream/gate.go
+++ b/node/upstream/gate.go
@@ -66,7 +66,9 @@
 	rank := g.settings.Current().Document.RankIndex(r.Rank)
 	g.mu.Lock()
 	g.reconfigure(now)
-	d := g.controller.Offer(now, admission.Request{ID: r.ID, Rank: rank, Caller: r.Caller, Deadline: r.Deadline})
+	d := g.controller.Offer(now, admission.Request{
+		ID: r.ID, Rank: rank, Caller: r.Caller, Deadline: r.Deadline, Nested: r.Nested,
+	})
 	g.deliver(d.Grants)
 	var granted chan admission.Reason
 	if d.Verdict == admission.Queued {
--- a/node/wire/wire.go
+++ b/node/wire/wire.go
@@ -120,6 +120,7 @@
 	Retries    int    `cbor:"11,keyasint,omitempty"`
 	Idempotent bool   `cbor:"12,keyasint,omitempty"`
 	Key        string `cbor:"13,keyasint,omitempty"`
+	Nested     bool   `cbor:"14,keyasint,omitempty"`
 }
 
 // Answer is the head of an answer.
