Never drain another instance than the one that is named

Cause: the admin address that peers tell may lead to another daemon from the operator's machine; the default 127.0.0.1:7403 does so on every machine. drain NAME would then have stopped the daemon beside the operator, and apply -wait would have taken its revision for that of the peer.

Change: the command checks who answers; POST /drain?instance=NAME is refused with 409 by any other instance; -wait counts only answers of the instance itself.

--- a/node/admin/admin.go
+++ b/node/admin/admin.go
@@ -69,7 +69,8 @@
 	WriteMetrics(w io.Writer)
 }
 
-// Handler returns the handler of the admin port.
+// Handler returns the handler of the admin port. POST /drain takes the name of the
+// instance that is meant as ?instance=NAME, and refuses to drain another.
 func Handler(d Daemon) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { d.WriteMetrics(w) })
@@ -87,7 +88,11 @@
 		}
 		_, _ = io.WriteString(w, "ready\n")
 	})
-	mux.HandleFunc("POST /drain", func(w http.ResponseWriter, _ *http.Request) {
+	mux.HandleFunc("POST /drain", func(w http.ResponseWriter, r *http.Request) {
+		if meant := r.URL.Query().Get("instance"); meant != "" && meant != d.Status().Instance {
+			http.Error(w, "this is instance "+d.Status().Instance, http.StatusConflict)
+			return
+		}
 		d.Drain()
 		w.WriteHeader(http.StatusAccepted)
 		_, _ = io.WriteString(w, "draining\n")
--- a/node/cli/cli_test.go
+++ b/node/cli/cli_test.go
@@ -242,3 +242,23 @@
 	is.Equal(out, "revision 59\n")
 	is.True(strings.Contains(stderr, "the revision in force is not known"))
 }
+
+// An admin address such as 127.0.0.1:7403 leads to another daemon from another
+// machine, which must not be drained in place of the one that is meant.
+func TestDrainDrainsNoOtherInstance(t *testing.T) {
+	is := is.New(t)
+	var posts atomic.Int32
+	var own string
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodPost {
+			posts.Add(1)
+		}
+		_ = json.NewEncoder(w).Encode(admin.Status{Instance: "a", Peers: []admin.Peer{{ID: "a"}, {ID: "b", Admin: own}}})
+	}))
+	defer server.Close()
+	own = strings.TrimPrefix(server.URL, "http://")
+	status, _, stderr := run(t, "", "drain", "-daemon", server.URL, "b")
+	is.Equal(status, ExitFailed)
+	is.True(strings.Contains(stderr, "leads from here to a"))
+	is.Equal(posts.Load(), int32(0))
+}
--- a/node/cli/fleet.go
+++ b/node/cli/fleet.go
@@ -79,7 +79,7 @@
 		return false
 	}
 	status, err := c.statusOf(ctx, "http://"+p.Admin)
-	return err == nil && status.SettingsRevision >= revision
+	return err == nil && status.Instance == p.ID && status.SettingsRevision >= revision
 }
 
 // newestRevision returns the newest revision that the daemon knows to be in
--- a/node/cli/status.go
+++ b/node/cli/status.go
@@ -158,6 +158,11 @@
 	})
 }
 
+// drainParams name the instance that is meant, so that no other is drained.
+type drainParams struct {
+	Instance string `url:"instance"`
+}
+
 // drained is the result of drain.
 type drained struct {
 	Instance string `json:"instance"`
@@ -173,7 +178,15 @@
 	if err != nil {
 		return err
 	}
-	if err := c.askAdmin(ctx, adminBase(base).Post("drain"), base, nil); err != nil {
+	at, err := c.statusOf(ctx, base)
+	if err != nil {
+		return err
+	}
+	if at.Instance != instance {
+		return errors.Errorf("the admin address of %s, %s, leads from here to %s: give that of %s as -daemon", instance, base, at.Instance, instance)
+	}
+	request := adminBase(base).Post("drain").QueryStruct(drainParams{instance})
+	if err := c.askAdmin(ctx, request, base, nil); err != nil {
 		return err
 	}
 	if c.json {
