--- a/node/config/config.go
+++ b/node/config/config.go
@@ -120,7 +120,11 @@
 		{"peer-listen", c.PeerListen},
 		{"admin-listen", c.AdminListen},
 	} {
-		addr, err := parseAddr(f.value)
+		value := f.value
+		if f.name != "peer-listen" {
+			value = withIP(value)
+		}
+		addr, err := parseAddr(value)
 		if err != nil {
 			add(f.name, "%q %v", f.value, err)
 			continue
@@ -135,6 +139,18 @@
 	}
 }
 
+// withIP writes the usual short forms of a listening address as IP numbers. Peers
+// need the instance's own number, so that -peer-listen has no short form.
+func withIP(s string) string {
+	if port, found := strings.CutPrefix(s, "localhost:"); found {
+		return "127.0.0.1:" + port
+	}
+	if strings.HasPrefix(s, ":") {
+		return "0.0.0.0" + s
+	}
+	return s
+}
+
 // parseAddr parses an IP number with a port.
 func parseAddr(s string) (netip.AddrPort, error) {
 	addr, err := netip.ParseAddrPort(s)
--- a/node/config/config_test.go
+++ b/node/config/config_test.go
@@ -81,6 +81,16 @@
 	is.True(strings.Contains(err.Error(), `-admin-listen: "127.0.0.1:7400" is the address of -caller-listen too`))
 }
 
+func TestShortListeningAddresses(t *testing.T) {
+	is := is.New(t)
+	_, err := Parse(append([]string{"-caller-listen", ":7400", "-admin-listen", "localhost:7403"}, required...), &bytes.Buffer{})
+	is.NoErr(err)
+	_, err = Parse(append([]string{"-peer-listen", "localhost:7402"}, required...), &bytes.Buffer{})
+	is.True(strings.Contains(err.Error(), `-peer-listen: "localhost:7402" is not an IP number`))
+	_, err = Parse(append([]string{"-admin-listen", "localhost:7400"}, required...), &bytes.Buffer{})
+	is.True(strings.Contains(err.Error(), "the address of -caller-listen too"))
+}
+
 func TestFileFaults(t *testing.T) {
 	is := is.New(t)
 	_, err := Parse(append([]string{"-config", writeFile(t, "{\n\"service\": \"s\",\n}")}, required...), &bytes.Buffer{})
