Say unknown at the entry for keys that callers brought

An entry daemon that refused a request by the level of its subtree or by quarantine said not-run, also for a caller's key that had run at its owner. It now says unknown for such keys.

--- a/node/daemon/suspect_test.go
+++ b/node/daemon/suspect_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/matryer/is"
 
+	"fuchsiavane.org/core/once"
 	"fuchsiavane.org/node/call"
 	"fuchsiavane.org/node/daemon/daemontest"
 	"fuchsiavane.org/node/platform/memstore"
@@ -27,6 +28,7 @@
 
 func (m *mortal) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path == "/poison" {
+		_, _ = io.Copy(io.Discard, r.Body) // or the server does not see the connection end
 		m.die.Do(func() {
 			m.dead.Store(true)
 			_ = m.server.Load().Listener.Close()
@@ -102,3 +104,41 @@
 	is.Equal(refused.Load(), int64(0)) // no innocent request is quarantined
 	is.True(whole.Load() > 0)
 }
+
+// A key that its caller brought and that ran is never called not-run, also when
+// the entry daemon itself refuses it as quarantined.
+func TestCrashingKeyIsNeverCalledNotRun(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	store := memstore.New()
+	daemontest.Apply(t, store, onceDocument)
+	entry := daemontest.Start(t, store, daemontest.Options{ID: "entry", Service: "front", Upstream: &counter{}})
+	var ids []string
+	owned := func() int { return 0 }
+	for i := range 3 {
+		m := &mortal{}
+		ids = append(ids, fmt.Sprint("registry-", i))
+		instance := daemontest.Start(t, store, daemontest.Options{ID: ids[i], Service: "registry", Upstream: m})
+		m.server.Store(instance.Upstream)
+		before := owned
+		owned = func() int { return before() + instance.Daemon.Claims().Shards }
+	}
+	entry.AwaitPeers(1, ids...)
+	for end := time.Now().Add(ownersLimit); owned() < once.Shards && time.Now().Before(end); {
+		time.Sleep(20 * time.Millisecond)
+	}
+	post := func(key string) daemontest.Reply {
+		return entry.Call("POST", "registry", "/poison", "bib 17", call.HeaderKey, key)
+	}
+	first := newKey()
+	is.Equal(post(first).Outcome, call.Unknown)
+	quarantined := false
+	for range 20 { // other keys with the same body, until it is quarantined
+		quarantined = post(newKey()).Status == http.StatusUnprocessableEntity
+		if quarantined {
+			break
+		}
+	}
+	is.True(quarantined)
+	is.Equal(post(first).Outcome, call.Unknown)
+}
--- a/node/gateway/retries.go
+++ b/node/gateway/retries.go
@@ -45,7 +45,9 @@
 	}
 	switch g.Suspects.Judge(time.Now(), suspect.PrintOf(r)) {
 	case coresuspect.Quarantined:
-		return suspect.Refuse(r)
+		refusal := suspect.Refuse(r)
+		refusal.Outcome = outcomeAtEntry(r)
+		return refusal
 	case coresuspect.Alone:
 		r.Header.Set(suspect.HeaderSuspect, suspect.MarkAlone)
 	}
