Send to owners and picked peers by one path; list one service, not the fleet

Cause: calls to the owner of a key repeated the sending of picked calls and told the picker nothing, so an owner that takes calls and never answers kept getting keys made at the entry; each unknown service name made the entry list the whole fleet; a caller's refused resend was logged as a malformed request and missing in the metrics. The search for test ports opened each port for a moment, and a program being started by another goroutine inherits it for as long as it takes to start: bind: address already in use, seen twice in some twenty runs. Change: sendTo serves both; owners that the picker avoids get no new keys; OfService in place of the fleet's list; resends are refused where levels are; freeport calls a port to see whether it is free.

--- a/core/route/route.go
+++ b/core/route/route.go
@@ -237,6 +237,25 @@
 	return peers
 }
 
+// Avoided returns the ids of a service's peers that get no picked calls: those
+// ejected, and those that refused as leaving; sorted.
+func (p *Picker) Avoided(now time.Time, serviceName string) []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.services[serviceName]
+	if s == nil {
+		return nil
+	}
+	var ids []string
+	for _, peer := range s.peers {
+		if !peer.usable(now) {
+			ids = append(ids, peer.ID)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
 // Ejected returns the ids of the ejected peers, sorted.
 func (p *Picker) Ejected(now time.Time) []string {
 	p.mu.Lock()
--- a/node/daemon/once.go
+++ b/node/daemon/once.go
@@ -5,6 +5,7 @@
 	"net/url"
 	"time"
 
+	"fuchsiavane.org/core/route"
 	"fuchsiavane.org/node/event"
 	"fuchsiavane.org/node/once"
 	"fuchsiavane.org/node/platform"
@@ -19,7 +20,8 @@
 		Store: store, Live: d.liveOfService, Log: d.log,
 	})
 	teller := &suspect.Teller{
-		Instance: d.config.InstanceID, Service: d.config.Service, Peers: d.picker.Peers, Transport: d.pool,
+		Instance: d.config.InstanceID, Service: d.config.Service, Transport: d.pool,
+		Peers: func() []route.Peer { return d.picker.OfService(d.config.Service) },
 	}
 	d.guard = suspect.NewGuard(d.runner, base.Host, teller, d.log)
 	d.own = once.NewServer(d.keeper, d.guard)
--- a/node/freeport/freeport.go
+++ b/node/freeport/freeport.go
@@ -13,6 +13,7 @@
 	"os"
 	"strconv"
 	"sync"
+	"time"
 
 	"github.com/pkg/errors"
 )
@@ -21,6 +22,8 @@
 	firstPort  = 10000
 	blockPorts = 100
 	blocks     = 200
+	// dialTimeout bounds the look at one port.
+	dialTimeout = 100 * time.Millisecond
 )
 
 // pool is the ports that this process has taken.
@@ -32,8 +35,8 @@
 	next, end int
 }
 
-// Addrs returns n different addresses of 127.0.0.1 whose TCP and UDP ports are
-// free. No address is returned twice to one process.
+// Addrs returns n different addresses of 127.0.0.1 at which nothing
+// listens. No address is returned twice to one process.
 func Addrs(n int) ([]string, error) {
 	pool.mu.Lock()
 	defer pool.mu.Unlock()
@@ -72,16 +75,14 @@
 
 func address(port int) string { return net.JoinHostPort("127.0.0.1", strconv.Itoa(port)) }
 
+// free reports whether nothing listens at an address. It calls the address
+// rather than opening it: a socket opened here would be inherited for a moment by
+// a program that another goroutine is starting, and keep the port taken.
 func free(addr string) bool {
-	listener, err := net.Listen("tcp", addr)
+	conn, err := net.DialTimeout("tcp", addr, dialTimeout)
 	if err != nil {
-		return false
+		return true
 	}
-	defer listener.Close()
-	packets, err := net.ListenPacket("udp", addr)
-	if err != nil {
-		return false
-	}
-	defer packets.Close()
-	return true
+	_ = conn.Close()
+	return false
 }
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -97,38 +97,48 @@
 	}
 }
 
-// attempt sends the request to one peer. The peer's id is empty if there is
-// none to try.
+// attempt sends the request to a peer that the picker chooses. The peer's id is
+// empty if there is none to try.
 func (g *Gateway) attempt(ctx context.Context, r *call.Request, values *settings.Values, budget *retry.Budget, tried []string) (*call.Answer, string) {
-	began := time.Now()
-	peer, ok := g.pick(began, r, values, tried)
+	peer, ok := g.pick(time.Now(), r, values, tried)
 	if !ok {
 		return g.noPeer(r), ""
 	}
+	answer, _ := g.sendTo(ctx, r, peer.Peer, values, budget)
+	return answer, peer.ID
+}
+
+// sendTo sends the request to a peer, lends it a part of the budget, and tells
+// the picker, which counts the call as in flight already, what came of it.
+// byPeer is false if the peer gave no answer.
+func (g *Gateway) sendTo(ctx context.Context, r *call.Request, peer route.Peer, values *settings.Values, budget *retry.Budget) (answer *call.Answer, byPeer bool) {
+	began := time.Now()
 	attempt := *r
 	attempt.Run = uuid.NewString()
 	attempt.Retries = budget.Lend()
-	if peer.Far {
+	far := peer.Region != g.Place.Region
+	if far {
 		g.Far.charge(&attempt)
 	}
-	answer := g.send(ctx, &attempt, peer.Peer, values)
+	answer, byPeer = g.deliver(ctx, &attempt, peer, values)
 	budget.Return(attempt.Retries, answer.Unspent)
 	g.Picker.Done(time.Now(), r.Service, peer.ID, resultOf(answer, time.Since(began)))
-	if peer.Far {
+	if far {
 		answer.Body = g.Far.pace(ctx, answer.Body)
 	}
-	return answer, peer.ID
+	return answer, byPeer
 }
 
-func (g *Gateway) send(ctx context.Context, r *call.Request, peer route.Peer, values *settings.Values) *call.Answer {
+// deliver gives the request to the own upstream's server or to a link.
+func (g *Gateway) deliver(ctx context.Context, r *call.Request, peer route.Peer, values *settings.Values) (answer *call.Answer, byPeer bool) {
 	if peer.ID == g.Instance {
-		return g.Own.Serve(ctx, r)
+		return g.Own.Serve(ctx, r), true
 	}
 	answer, err := g.Transport.Do(ctx, peer.Addr, g.class(values.Rank), r)
-	if err == nil {
-		return answer
+	if err != nil {
+		return lost(r, peer, err), false
 	}
-	return lost(r, peer, err)
+	return answer, true
 }
 
 // class puts the least urgent of several ranks on links of its own.
--- a/node/gateway/http.go
+++ b/node/gateway/http.go
@@ -95,9 +95,6 @@
 	if err != nil {
 		return nil, badRequest(err)
 	}
-	if refusal := g.resent(request, &p.values); refusal != nil {
-		return nil, refusal
-	}
 	p.ctx = r.Context()
 	p.budget = retry.NewBudget(p.values.Attempts - 1)
 	return p, nil
--- a/node/gateway/levels.go
+++ b/node/gateway/levels.go
@@ -18,11 +18,15 @@
 
 func newLevels() *levels { return &levels{view: level.NewView()} }
 
-// callAdmitted makes the call of a prepared request, unless the level of its
-// subtree refuses it. A request with a parent run is not refused here: its own
-// entry has let it in, and the work done for it would be lost.
+// callAdmitted makes the call of a prepared request, unless its caller resends
+// too often or the level of its subtree refuses it. A request with a parent run
+// is not refused here: its own entry has let it in, and the work done for it
+// would be lost.
 func (g *Gateway) callAdmitted(p *prepared) *call.Answer {
 	if p.parent == nil {
+		if refusal := g.resent(p.request, &p.values); refusal != nil {
+			return refusal
+		}
 		if refusal := g.levels.refusal(time.Now(), p.request); refusal != nil {
 			return refusal
 		}
--- a/node/gateway/owner.go
+++ b/node/gateway/owner.go
@@ -5,8 +5,6 @@
 	"slices"
 	"time"
 
-	"github.com/google/uuid"
-
 	"fuchsiavane.org/core/once"
 	"fuchsiavane.org/core/retry"
 	"fuchsiavane.org/core/route"
@@ -101,32 +99,9 @@
 
 // send asks one instance. byOwner is false if the answer was made here.
 func (s *search) send(ctx context.Context, peer route.Peer) (answer *call.Answer, byOwner bool) {
-	attempt := *s.request
-	attempt.Run = uuid.NewString()
-	attempt.Retries = s.budget.Lend()
 	s.sends++
-	far := peer.Region != s.gateway.Place.Region
-	if far {
-		s.gateway.Far.charge(&attempt)
-	}
-	answer, byOwner = s.deliver(ctx, &attempt, peer)
-	s.budget.Return(attempt.Retries, answer.Unspent)
-	if far {
-		answer.Body = s.gateway.Far.pace(ctx, answer.Body)
-	}
-	return answer, byOwner
-}
-
-func (s *search) deliver(ctx context.Context, r *call.Request, peer route.Peer) (*call.Answer, bool) {
-	g := s.gateway
-	if peer.ID == g.Instance {
-		return g.Own.Serve(ctx, r), true
-	}
-	answer, err := g.Transport.Do(ctx, peer.Addr, g.class(s.values.Rank), r)
-	if err != nil {
-		return lost(r, peer, err), false
-	}
-	return answer, true
+	s.gateway.Picker.Begin(s.request.Service, peer.ID)
+	return s.gateway.sendTo(ctx, s.request, peer, s.values, s.budget)
 }
 
 // again decides whether to ask once more, and waits before it.
--- a/node/gateway/owners.go
+++ b/node/gateway/owners.go
@@ -39,6 +39,8 @@
 	at    time.Time
 	peers map[string]route.Peer
 	live  []string
+	// avoided lists the peers that get no keys made here, since they fail.
+	avoided []string
 	// preferred is the owner by rendezvous hash of each shard.
 	preferred [once.Shards]string
 	// learned is the owner that an instance has named, which goes first.
@@ -63,19 +65,17 @@
 		o.views[service] = v
 	}
 	if now.Sub(v.at) >= viewAge || len(v.live) == 0 {
-		v.renew(service, o.picker.Peers(), now)
+		v.renew(o.picker.OfService(service), now)
+		v.avoided = o.picker.Avoided(now, service)
 	}
 	return v
 }
 
-func (v *view) renew(service string, peers []route.Peer, now time.Time) {
+func (v *view) renew(peers []route.Peer, now time.Time) {
 	v.at = now
 	v.peers = map[string]route.Peer{}
 	live := make([]string, 0, len(v.live))
 	for _, p := range peers {
-		if p.Service != service {
-			continue
-		}
 		v.peers[p.ID] = p
 		if !p.Leaving {
 			live = append(live, p.ID)
@@ -160,14 +160,20 @@
 	return key
 }
 
-// tierNone is the tier of shards that can't be used.
-const tierNone = 3
+const (
+	// tierAvoided is the tier of shards whose owners fail.
+	tierAvoided = 3
+	// tierNone is the tier of shards that can't be used.
+	tierNone = 4
+)
 
 func (o *owners) tier(v *view, shard int, tried []string) int {
 	p, ok := v.owner(shard)
 	switch {
 	case !ok || p.Leaving || slices.Contains(tried, p.ID) || time.Now().Before(v.unowned[shard]):
 		return tierNone
+	case slices.Contains(v.avoided, p.ID):
+		return tierAvoided
 	case p.DataCentre == o.place.DataCentre:
 		return 0
 	case p.Region == o.place.Region:
--- a/node/suspect/teller.go
+++ b/node/suspect/teller.go
@@ -36,7 +36,7 @@
 // request that is sent again must come by, whichever entry daemon takes it.
 type Teller struct {
 	Instance, Service string
-	// Peers returns the known peers.
+	// Peers returns the known peers of the service.
 	Peers     func() []route.Peer
 	Transport Transport
 }
@@ -55,7 +55,7 @@
 	room := make(chan struct{}, maxTelling)
 	var group sync.WaitGroup
 	for _, peer := range t.Peers() {
-		if peer.Service != t.Service || peer.ID == t.Instance {
+		if peer.ID == t.Instance {
 			continue
 		}
 		room <- struct{}{}
