--- a/node/daemon/routing_test.go
+++ b/node/daemon/routing_test.go
@@ -24,39 +24,65 @@
 	_, _ = io.WriteString(w, "done\n")
 }
 
-// An upstream that accepts calls and never answers is left.
+// halfDead is an upstream that, once told to, accepts calls and never answers.
+type halfDead struct {
+	dead atomic.Bool
+	// runs counts all calls, stuck those without an answer.
+	runs, stuck atomic.Int64
+}
+
+func (h *halfDead) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	h.runs.Add(1)
+	if !h.dead.Load() {
+		_, _ = io.WriteString(w, "done\n")
+		return
+	}
+	h.stuck.Add(1)
+	<-r.Context().Done()
+}
+
+// An upstream that accepts calls and never answers is left, by calls that any
+// instance may run and by those that the owner of their key runs.
 func TestHalfDeadUpstreamIsLeft(t *testing.T) {
-	t.Parallel()
+	for _, method := range []string{http.MethodGet, http.MethodPost} {
+		t.Run(method, func(t *testing.T) {
+			t.Parallel()
+			testHalfDeadUpstreamIsLeft(t, method)
+		})
+	}
+}
+
+func testHalfDeadUpstreamIsLeft(t *testing.T, method string) {
 	is := is.New(t)
 	store := memstore.New()
 	daemontest.Apply(t, store, `{"settings": {"timeout_ms": 300, "attempts": 1}}`)
-	var dead atomic.Int64
-	stuck := http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
-		dead.Add(1)
-		<-r.Context().Done()
-	})
 	entry := daemontest.Start(t, store, daemontest.Options{ID: "entry", Service: "front", Upstream: &counter{}})
 	for i := range 3 {
 		daemontest.Start(t, store, daemontest.Options{ID: fmt.Sprintf("good-%d", i), Service: "bench", Upstream: &counter{}})
 	}
+	stuck := &halfDead{}
 	daemontest.Start(t, store, daemontest.Options{ID: "stuck", Service: "bench", Upstream: stuck})
 	entry.AwaitPeers(1, "good-0", "good-1", "good-2", "stuck")
+	for end := time.Now().Add(20 * time.Second); stuck.runs.Load() < 5 && time.Now().Before(end); {
+		entry.Call(method, "bench", "/", "") // until it takes part
+	}
+	stuck.dead.Store(true)
 	const total = 600
 	var whole atomic.Int64
 	var group sync.WaitGroup
 	for range 4 {
 		group.Go(func() {
 			for range total / 4 {
-				if entry.Call("GET", "bench", "/", "").Status == http.StatusOK {
+				if entry.Call(method, "bench", "/", "").Status == http.StatusOK {
 					whole.Add(1)
 				}
 			}
 		})
 	}
 	group.Wait()
-	is.True(dead.Load() > 0)
+	is.True(stuck.stuck.Load() > 0)
 	// Without ejection a quarter of the calls would go there.
-	is.True(dead.Load() < total/20)
+	is.True(stuck.stuck.Load() < total/20)
 	is.True(whole.Load() >= total-total/20)
 }
 
