Say not-run again when the level of a subtree refuses at the entry

Saying unknown there made every shed first send with a caller's key unknown, and overload_is_truthful.txtar failed (4,017 of 4,467 answers). It passes again. What remains: a resend of a key that ran is called not-run by an entry daemon that refuses it by level; docs/design/once.md lists it as open.

--- a/node/gateway/levels.go
+++ b/node/gateway/levels.go
@@ -44,7 +44,7 @@
 	if !level.Refuses(inForce, r.ID) {
 		return nil
 	}
-	a := call.Refuse(outcomeAtEntry(r), call.RefusedOverload, "a service on the call path of "+r.Service+" is overloaded")
+	a := call.Refuse(call.NotRun, call.RefusedOverload, "a service on the call path of "+r.Service+" is overloaded")
 	a.RetryAfter = level.RetryAfter(inForce, r.ID)
 	a.Level = inForce
 	return a
