--- a/core/member/member.go
+++ b/core/member/member.go
@@ -210,12 +210,6 @@
 	m.schedule.gossip = m.now
 }
 
-// SetLevel tells the admission level; it rides on the messages sent anyway.
-func (m *Member) SetLevel(level uint32) {
-	m.self.Level = level
-	m.view.entries[m.self.ID].Level = level
-}
-
 // Newest returns the highest settings revision that was heard of.
 func (m *Member) Newest() Newest { return m.newest }
 
@@ -311,7 +305,7 @@
 func (m *Member) message(kind Kind) Message {
 	message := Message{
 		Kind: kind, From: m.self.ID, FromDataCentre: m.self.DataCentre,
-		Incarnation: m.self.Incarnation, Revision: m.self.Revision, Level: m.self.Level,
+		Incarnation: m.self.Incarnation, Revision: m.self.Revision,
 	}
 	if kind <= KindGossip {
 		message.Contacts = m.contacts()
--- a/core/member/message.go
+++ b/core/member/message.go
@@ -30,12 +30,11 @@
 // Kind.
 type Message struct {
 	Kind Kind `cbor:"1,keyasint"`
-	// From, FromDataCentre, Incarnation, Revision and Level are the sender's.
+	// From, FromDataCentre, Incarnation and Revision are the sender's.
 	From           string `cbor:"2,keyasint"`
 	FromDataCentre string `cbor:"3,keyasint,omitempty"`
 	Incarnation    uint64 `cbor:"4,keyasint,omitempty"`
 	Revision       uint64 `cbor:"5,keyasint,omitempty"`
-	Level          uint32 `cbor:"6,keyasint,omitempty"`
 	// Seq pairs a ping with its ack.
 	Seq uint64 `cbor:"7,keyasint,omitempty"`
 	// Target is the id that a ping is for.
--- a/core/member/receive.go
+++ b/core/member/receive.go
@@ -64,7 +64,6 @@
 		return
 	}
 	e.Revision = max(e.Revision, message.Revision)
-	e.Level = message.Level
 }
 
 // merge takes news of one member and reports whether it was new.
--- a/core/member/record.go
+++ b/core/member/record.go
@@ -52,8 +52,6 @@
 	// Revision is the settings revision that the member was last known to have
 	// in force.
 	Revision uint64 `cbor:"9,keyasint,omitempty"`
-	// Level is the admission level that the member last told.
-	Level uint32 `cbor:"10,keyasint,omitempty"`
 	// Admin is the host:port of its admin port, for operators.
 	Admin string `cbor:"11,keyasint,omitempty"`
 	// Started is the incarnation at the start of the process, which tells two
--- a/node/membership/membership.go
+++ b/node/membership/membership.go
@@ -66,7 +66,6 @@
 	streams  chan member.Outgoing
 	commands chan command
 	view     atomic.Pointer[View]
-	level    atomic.Uint32
 	newest   chan struct{}
 	stopped  chan struct{}
 
@@ -149,7 +148,6 @@
 			d.send(c.do(d.member, d.now()))
 			close(c.done)
 		case <-ticker.C:
-			d.member.SetLevel(d.level.Load())
 			d.send(d.member.Tick(d.now()))
 			d.publish()
 		}
@@ -210,9 +208,6 @@
 	})
 }
 
-// SetLevel sets the admission level that rides on the next messages.
-func (d *Duty) SetLevel(level uint32) { d.level.Store(level) }
-
 // View returns what is known of the fleet.
 func (d *Duty) View() *View { return d.view.Load() }
 
