Wait for the link's session in a test; pace the bulk class

Cause: TestRequestCutInItsBodyIsNotRun hung (10 min, seen once): it broke the link before the serving side had ended its handshake, whose verdict is then, rightly, unknown, and the test waited only for an answer. Change: it waits for the session and fails at once when the stream is lost.

Archives through two daemons (338 to 524 MB/s) kept urgent calls waiting for a thread. Each daemon now passes on at most 64 MiB/s of bulk answers.

--- a/node/link/body.go
+++ b/node/link/body.go
@@ -1,6 +1,7 @@
 package link
 
 import (
+	"context"
 	"io"
 	"sync"
 
@@ -14,6 +15,7 @@
 type body struct {
 	grant  func(n int)
 	cancel func()
+	pace   *pacer // nil for none
 
 	mu     sync.Mutex
 	ready  *sync.Cond
@@ -92,6 +94,9 @@
 		granted, b.taken = b.taken, 0
 	}
 	b.mu.Unlock()
+	if b.pace != nil {
+		_ = b.pace.wait(context.Background(), n) // the pause is short
+	}
 	if granted > 0 {
 		b.grant(granted)
 	}
--- a/node/link/client.go
+++ b/node/link/client.go
@@ -38,6 +38,7 @@
 	conn    *conn
 	timing  Timing
 	session []byte // the id of the link, which both sides know
+	pace    *pacer // of the answers' bodies; nil for none
 
 	mu      sync.Mutex
 	last    uint64
@@ -94,6 +95,7 @@
 // breaks meanwhile is not an error: its Pool asks for the answer on a new one.
 func (l *Link) Do(ctx context.Context, r *call.Request) (*call.Answer, error) {
 	s := newClientStream(r)
+	s.body.pace = l.pace
 	if err := l.open(s); err != nil {
 		return nil, &Error{false, err}
 	}
--- a/node/link/keeper.go
+++ b/node/link/keeper.go
@@ -23,6 +23,7 @@
 // whose link broke is fetched over a new link and the request never runs twice.
 type keeper struct {
 	timing Timing
+	bulk   pacer // of the answers on bulk links
 
 	mu       sync.Mutex
 	sessions map[string]*serving
@@ -48,6 +49,7 @@
 func newKeeper(timing Timing) *keeper {
 	return &keeper{
 		timing:   timing,
+		bulk:     pacer{rate: bulkRate},
 		sessions: map[string]*serving{},
 		runs:     map[string]*serverStream{},
 		finished: list.New(),
--- a/node/link/listener.go
+++ b/node/link/listener.go
@@ -66,7 +66,7 @@
 		l.log.Log(refusalEvent(err)).Str("remote", r.RemoteAddr).Err(err).Msg("link refused")
 		return
 	}
-	l.serve(ws, session, peer.Instance, r.RemoteAddr)
+	l.serve(ws, session, peer, r.RemoteAddr)
 }
 
 func (l *Listener) isLeaving() bool {
@@ -82,19 +82,19 @@
 	return event.LinkRefused
 }
 
-func (l *Listener) serve(ws *websocket.Conn, session []byte, peer, remote string) {
+func (l *Listener) serve(ws *websocket.Conn, session []byte, peer *wire.Hello, remote string) {
 	c := newConn(ws)
 	if !l.track(c) {
 		c.close(ErrClosed)
 		return
 	}
 	defer l.untrack(c)
-	reason := newServing(c, session, l.server, l.keeper).run()
+	reason := newServing(c, session, Class(peer.Class), l.server, l.keeper).run()
 	kind := event.LinkClosed
 	if errors.Is(reason, ErrMalformed) {
 		kind = event.LinkMalformed
 	}
-	l.log.Log(kind).Str("peer", peer).Str("remote", remote).Err(reason).Msg("link closed")
+	l.log.Log(kind).Str("peer", peer.Instance).Str("remote", remote).Err(reason).Msg("link closed")
 }
 
 // track counts a link. It reports false if the Listener takes no more.
--- a/node/link/pool.go
+++ b/node/link/pool.go
@@ -34,6 +34,7 @@
 	identity Identity
 	timing   Timing
 	log      *event.Logger
+	bulk     pacer // of the answers on bulk links
 
 	mu     sync.Mutex
 	links  map[target]*pooled
@@ -68,7 +69,7 @@
 
 // NewPool returns a Pool.
 func NewPool(identity Identity, timing Timing, log *event.Logger) *Pool {
-	return &Pool{identity: identity, timing: timing, log: log, links: map[target]*pooled{}, done: make(chan struct{})}
+	return &Pool{identity: identity, timing: timing, log: log, bulk: pacer{rate: bulkRate}, links: map[target]*pooled{}, done: make(chan struct{})}
 }
 
 // Do sends a request to the daemon at a peer address. The error is an *Error.
@@ -248,5 +249,9 @@
 		_ = ws.Close()
 		return nil, err
 	}
-	return newLink(newConn(ws), p.timing, session), nil
+	link := newLink(newConn(ws), p.timing, session)
+	if t.class == ClassBulk {
+		link.pace = &p.bulk
+	}
+	return link, nil
 }
--- a/node/link/recovery_test.go
+++ b/node/link/recovery_test.go
@@ -159,14 +159,24 @@
 	pool := newTestPool(t, "k")
 	link, err := pool.get(context.Background(), target{p.addr(), ClassUrgent})
 	is.NoErr(err)
+	// Before its handshake ends the serving side knows nothing of the link.
+	eventually(t, "the session", func() bool {
+		p.listener.keeper.mu.Lock()
+		defer p.listener.keeper.mu.Unlock()
+		return len(p.listener.keeper.sessions) == 1
+	})
 	s := newClientStream(newRequest(nil))
 	is.NoErr(link.open(s))
 	head := requestHead(newRequest(nil), time.Now())
 	head.Run = s.run
 	is.NoErr(link.conn.send(&wire.Frame{Type: wire.TypeRequest, Stream: s.origin, Request: head, Data: []byte("half")}))
 	link.conn.close(errors.New("broken by the test"))
-	answer := <-s.answer
-	is.Equal(answer.Outcome, call.NotRun)
+	select {
+	case answer := <-s.answer:
+		is.Equal(answer.Outcome, call.NotRun)
+	case <-s.lost:
+		t.Fatal(s.lostWhy)
+	}
 	is.Equal(server.runs.Load(), int64(0))
 }
 
@@ -193,7 +203,7 @@
 	is := is.New(t)
 	p := newPeer(t, "k", call.ServerFunc(echo))
 	k := p.listener.keeper
-	s := newServing(nil, []byte("session"), nil, k)
+	s := newServing(nil, []byte("session"), ClassUrgent, nil, k)
 	close(s.ended)
 	s.conn = &conn{err: ErrClosed, pending: &bytes.Buffer{}}
 	k.opened(s)
--- a/node/link/server.go
+++ b/node/link/server.go
@@ -19,7 +19,8 @@
 	conn    *conn
 	server  call.Server
 	keeper  *keeper
-	session string        // the id of the link, which both sides know
+	session string // the id of the link, which both sides know
+	class   Class
 	ended   chan struct{} // closed when the reader has ended
 
 	streams map[uint64]*serverStream
@@ -49,9 +50,9 @@
 	element                    *list.Element
 }
 
-func newServing(c *conn, session []byte, server call.Server, k *keeper) *serving {
+func newServing(c *conn, session []byte, class Class, server call.Server, k *keeper) *serving {
 	return &serving{
-		conn: c, server: server, keeper: k, session: string(session),
+		conn: c, server: server, keeper: k, session: string(session), class: class,
 		ended: make(chan struct{}), streams: map[uint64]*serverStream{},
 	}
 }
@@ -229,6 +230,9 @@
 func (stream *serverStream) sendPiece(piece []byte) error {
 	for len(piece) > 0 {
 		n, err := stream.out.credit.take(stream.ctx, nil, len(piece))
+		if err == nil && stream.origin.class == ClassBulk {
+			err = stream.origin.keeper.bulk.wait(stream.ctx, n)
+		}
 		if err != nil {
 			return err
 		}
