--- a/test.sh
+++ b/test.sh
@@ -48,10 +48,10 @@
 
 echo "== go test -race"
 status=0
-go test -race -count=1 -timeout 20m $(without_red "$other_packages") || status=1
-go test -race -count=1 -timeout 20m $(without_red "$rapid_packages") -rapid.seed=$rapid_seed || status=1
+go test -race -count=1 -timeout 8m $(without_red "$other_packages") || status=1
+go test -race -count=1 -timeout 8m $(without_red "$rapid_packages") -rapid.seed=$rapid_seed || status=1
 for package in $red_packages; do
-	go test -race -count=1 -timeout 20m -skip "$(skip_pattern "$package")" "$package" $(seed_flag "$package") || status=1
+	go test -race -count=1 -timeout 8m -skip "$(skip_pattern "$package")" "$package" $(seed_flag "$package") || status=1
 done
 
 echo "== known red, passed over"
