Keep a peer's refusal when a retry finds no other peer

Cause: a call refused by the only peer of a service was retried, found nobody left, and told its caller no-upstream with a fixed Retry-After in place of the overload and its own. Change: the last peer's answer stands. TestRefusalOutlivesARetryWithoutPeers fails on the code before (no-upstream != overload) and passes now.

--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -82,9 +82,13 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
 	var tried []string
+	var last *call.Answer
 	lost := false
 	for {
 		answer, peer := g.attempt(ctx, r, values, budget, tried)
+		if peer == "" && last != nil {
+			answer = last // says more than that no other peer is left
+		}
 		g.carrySuspicion(r, answer)
 		if !g.again(ctx, r, values, answer, tried, peer, budget) {
 			settleOutcome(answer, lost)
@@ -93,6 +97,7 @@
 		}
 		_ = answer.Body.Close()
 		tried = append(tried, peer)
+		last = answer
 		lost = lost || answer.Outcome != call.NotRun
 	}
 }
