A peer that is gone says less than that no upstream is left

Change: only an overload, or an answer of which the request may have run, stands when no other peer is left. The test has four cases now.

--- a/node/gateway/call_test.go
+++ b/node/gateway/call_test.go
@@ -19,28 +19,58 @@
 	"fuchsiavane.org/node/settingsync"
 )
 
-// refusing is a transport whose peers all refuse.
+// refusing is a transport whose peers all refuse in the same way.
 type refusing struct {
-	sends      int
-	retryAfter time.Duration
+	sends   int
+	outcome call.Outcome
+	refusal call.Refusal
 }
 
+// retryAfter is the wait that refusing peers tell.
+const retryAfter = 7 * time.Second
+
 func (t *refusing) Do(_ context.Context, _ string, _ link.Class, r *call.Request) (*call.Answer, error) {
 	t.sends++
-	a := call.Refuse(call.NotRun, call.RefusedOverload, "no slot")
-	a.RetryAfter = t.retryAfter
+	a := call.Refuse(t.outcome, t.refusal, "refused")
+	a.RetryAfter = retryAfter
 	a.Unspent = r.Retries
 	return a, nil
 }
 
 // A refused call whose retry finds no other peer gives the peer's refusal, with
-// its Retry-After, and not that no upstream is known.
-func TestRefusalOutlivesARetryWithoutPeers(t *testing.T) {
-	is := is.New(t)
+// its Retry-After, if that says more than that no upstream is left.
+func TestRefusalAfterARetryWithoutPeers(t *testing.T) {
+	tests := []struct {
+		name          string
+		outcome       call.Outcome
+		refusal, want call.Refusal
+	}{
+		{"overloaded", call.NotRun, call.RefusedOverload, call.RefusedOverload},
+		{"may have run", call.Unknown, call.RefusedUnreachable, call.RefusedUnreachable},
+		{"gone", call.NotRun, call.RefusedUnreachable, call.RefusedNoUpstream},
+		{"leaving", call.NotRun, call.RefusedDraining, call.RefusedNoUpstream},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			transport := &refusing{outcome: test.outcome, refusal: test.refusal}
+			answer := callOnlyPeer(transport)
+			is.Equal(answer.Refusal, test.want)
+			is.Equal(answer.Outcome, test.outcome)
+			is.Equal(transport.sends, 1)
+			is.True(answer.RetryAfter > 0)
+			if test.want == call.RefusedOverload {
+				is.Equal(answer.RetryAfter, retryAfter)
+			}
+		})
+	}
+}
+
+// callOnlyPeer calls a service that has one peer.
+func callOnlyPeer(transport Transport) *call.Answer {
 	now := time.Now()
 	picker := route.NewPicker(route.Place{Instance: "entry", Region: "south", DataCentre: "south-1"})
 	picker.Update(now, []route.Peer{{ID: "only", Service: "bench", Region: "south", DataCentre: "south-1"}})
-	transport := &refusing{retryAfter: 7 * time.Second}
 	g := New(Config{
 		Instance: "entry", Place: route.Place{Region: "south", DataCentre: "south-1"},
 		Settings: settingsync.NewHolder(), Picker: picker, Far: NewFarLink(now), Transport: transport,
@@ -48,11 +78,8 @@
 	})
 	values := settings.Defaults()
 	values.RetryRatio = 1
-	answer := g.Call(context.Background(), &call.Request{
+	return g.Call(context.Background(), &call.Request{
 		ID: "id", Service: "bench", Method: http.MethodGet, Path: "/", Header: http.Header{},
 		Deadline: now.Add(10 * time.Second), Idempotent: true,
 	}, &values, retry.NewBudget(2))
-	is.Equal(answer.Refusal, call.RefusedOverload)
-	is.Equal(answer.RetryAfter, transport.retryAfter)
-	is.Equal(transport.sends, 1)
 }
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -86,8 +86,8 @@
 	lost := false
 	for {
 		answer, peer := g.attempt(ctx, r, values, budget, tried)
-		if peer == "" && last != nil {
-			answer = last // says more than that no other peer is left
+		if peer == "" && tellsMore(last) {
+			answer = last
 		}
 		g.carrySuspicion(r, answer)
 		if !g.again(ctx, r, values, answer, tried, peer, budget) {
@@ -102,6 +102,13 @@
 	}
 }
 
+// tellsMore reports whether the answer of a peer says more than that no other is
+// left: that it is overloaded, or that the request may have run there. A peer that
+// is gone or leaving says less.
+func tellsMore(last *call.Answer) bool {
+	return last != nil && (last.Refusal == call.RefusedOverload || last.Outcome != call.NotRun)
+}
+
 // attempt sends the request to a peer that the picker chooses. The peer's id is
 // empty if there is none to try.
 func (g *Gateway) attempt(ctx context.Context, r *call.Request, values *settings.Values, budget *retry.Budget, tried []string) (*call.Answer, string) {
