One way to list a picker's peers; one set-up for the replacement tests

Cause: five methods of the picker walked a service's peers each in its own way, and route.go held choice and listing together; two tests repeated their set-up.

--- a/core/route/route.go
+++ b/core/route/route.go
@@ -11,8 +11,6 @@
 package route
 
 import (
-	"slices"
-	"strings"
 	"sync"
 	"time"
 )
@@ -222,98 +220,3 @@
 	}
 	return 0
 }
-
-// Peers returns the known peers, sorted by id.
-func (p *Picker) Peers() []Peer {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	var peers []Peer
-	for _, s := range p.services {
-		for _, peer := range s.peers {
-			peers = append(peers, peer.Peer)
-		}
-	}
-	sortPeers(peers)
-	return peers
-}
-
-// Avoided returns the ids of a service's peers that get no picked calls: those
-// ejected, and those that refused as leaving; sorted.
-func (p *Picker) Avoided(now time.Time, serviceName string) []string {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	s := p.services[serviceName]
-	if s == nil {
-		return nil
-	}
-	var ids []string
-	for _, peer := range s.peers {
-		if !peer.usable(now) {
-			ids = append(ids, peer.ID)
-		}
-	}
-	slices.Sort(ids)
-	return ids
-}
-
-// Ejected returns the ids of the ejected peers, sorted.
-func (p *Picker) Ejected(now time.Time) []string {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	var ids []string
-	for _, s := range p.services {
-		for _, peer := range s.peers {
-			if peer.ejection.active(now) {
-				ids = append(ids, peer.ID)
-			}
-		}
-	}
-	slices.Sort(ids)
-	return ids
-}
-
-// InRegion returns the number of known peers in the own region, this daemon
-// included; at least 1.
-func (p *Picker) InRegion() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return max(p.inRegion, 1)
-}
-
-// OfService returns the known peers of one service, sorted by id.
-func (p *Picker) OfService(serviceName string) []Peer {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	s := p.services[serviceName]
-	if s == nil {
-		return nil
-	}
-	peers := make([]Peer, 0, len(s.peers))
-	for _, peer := range s.peers {
-		peers = append(peers, peer.Peer)
-	}
-	sortPeers(peers)
-	return peers
-}
-
-func sortPeers(peers []Peer) {
-	slices.SortFunc(peers, func(a, b Peer) int { return strings.Compare(a.ID, b.ID) })
-}
-
-// Serving returns the ids of a service's peers that take new work, sorted.
-func (p *Picker) Serving(serviceName string) []string {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	s := p.services[serviceName]
-	if s == nil {
-		return nil
-	}
-	var ids []string
-	for _, peer := range s.peers {
-		if !peer.Leaving {
-			ids = append(ids, peer.ID)
-		}
-	}
-	slices.Sort(ids)
-	return ids
-}
--- a/node/daemon/ports.go
+++ b/node/daemon/ports.go
@@ -113,7 +113,8 @@
 func (p *ports) closeAfterAnswer() { p.leaving.Store(true) }
 
 // drainCallers closes the caller port, at a moment in which no connection is
-// being opened, and waits for what it has in progress. The local port serves on, since running requests use it.
+// being opened, and waits for what it has in progress. The local port serves on,
+// since running requests use it.
 func (p *ports) drainCallers(ctx context.Context) {
 	p.caller.listener.awaitQuiet(ctx)
 	_ = p.caller.server.Shutdown(ctx)
--- a/node/daemon/replacement_test.go
+++ b/node/daemon/replacement_test.go
@@ -70,10 +70,7 @@
 func TestRollingReplacementCutsNothing(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
-	store := memstore.New()
-	daemontest.Apply(t, store, `{"settings": {"timeout_ms": 5000, "queue_ms": 1000}}`)
-	entry := daemontest.Start(t, store, daemontest.Options{ID: "entry", Service: "front", Upstream: &counter{}})
-	old := startBench(t, store, entry)
+	store, entry, old := startBench(t)
 	stop := make(chan struct{})
 	got, group := callUntil(entry, 8, stop)
 	for i, instance := range old {
@@ -93,10 +90,7 @@
 func TestRestartWithSameNameAndAddress(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
-	store := memstore.New()
-	daemontest.Apply(t, store, `{"settings": {"timeout_ms": 5000, "queue_ms": 1000}}`)
-	entry := daemontest.Start(t, store, daemontest.Options{ID: "entry", Service: "front", Upstream: &counter{}})
-	old := startBench(t, store, entry)
+	store, entry, old := startBench(t)
 	stop := make(chan struct{})
 	got, group := callUntil(entry, 4, stop)
 	old[0].Stop()
@@ -116,8 +110,12 @@
 	awaitCall(t, entry, http.StatusOK) // only the restarted one is left
 }
 
-func startBench(t *testing.T, store platform.Store, entry *daemontest.Instance) []*daemontest.Instance {
+// startBench starts an entry daemon and three instances of the service bench.
+func startBench(t *testing.T) (platform.Store, *daemontest.Instance, []*daemontest.Instance) {
 	t.Helper()
+	store := memstore.New()
+	daemontest.Apply(t, store, `{"settings": {"timeout_ms": 5000, "queue_ms": 1000}}`)
+	entry := daemontest.Start(t, store, daemontest.Options{ID: "entry", Service: "front", Upstream: &counter{}})
 	var instances []*daemontest.Instance
 	var ids []string
 	for i := range 3 {
@@ -126,7 +124,7 @@
 		ids = append(ids, o.ID)
 	}
 	entry.AwaitPeers(1, ids...)
-	return instances
+	return store, entry, instances
 }
 
 // awaitCall calls until the status is the wanted one.
