Name the store's seam kv

Cause: the package node/platform held only the key-value seam, and the adapter to the users' platform needs the name.

--- a/lab/bench/system.go
+++ b/lab/bench/system.go
@@ -18,7 +18,7 @@
 
 	"fuchsiavane.org/node/edit"
 	"fuchsiavane.org/node/freeport"
-	"fuchsiavane.org/node/platform/client"
+	"fuchsiavane.org/node/kv/client"
 )
 
 const (
--- a/lab/cmd/platform/main.go
+++ b/lab/cmd/platform/main.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"fuchsiavane.org/lab/platformsim"
-	"fuchsiavane.org/node/platform/memstore"
+	"fuchsiavane.org/node/kv/memstore"
 )
 
 func main() {
--- a/lab/control/real.go
+++ b/lab/control/real.go
@@ -20,8 +20,8 @@
 	"fuchsiavane.org/node/admin"
 	"fuchsiavane.org/node/edit"
 	"fuchsiavane.org/node/freeport"
-	"fuchsiavane.org/node/platform"
-	"fuchsiavane.org/node/platform/memstore"
+	"fuchsiavane.org/node/kv"
+	"fuchsiavane.org/node/kv/memstore"
 )
 
 const (
@@ -83,7 +83,7 @@
 
 // measureSpread makes edits directly in the store, so that only what the daemons
 // ask is counted.
-func (p *processes) measureSpread(r *Real, sim *platformsim.Server, store platform.Store) error {
+func (p *processes) measureSpread(r *Real, sim *platformsim.Server, store kv.Store) error {
 	before := sim.Stats()
 	for i := range edits {
 		document := fmt.Sprintf(`{"settings": {"slots": %d}}`, i+1)
--- a/lab/platformsim/backup.go
+++ b/lab/platformsim/backup.go
@@ -3,7 +3,7 @@
 import (
 	"net/http"
 
-	"fuchsiavane.org/node/platform/memstore"
+	"fuchsiavane.org/node/kv/memstore"
 )
 
 // handleBackup registers POST /backup, which remembers the store's state, and
--- a/lab/platformsim/platformsim.go
+++ b/lab/platformsim/platformsim.go
@@ -14,8 +14,8 @@
 
 	"github.com/pkg/errors"
 
-	"fuchsiavane.org/node/platform"
-	"fuchsiavane.org/node/platform/memstore"
+	"fuchsiavane.org/node/kv"
+	"fuchsiavane.org/node/kv/memstore"
 )
 
 // Fault is how the store misbehaves. The zero value is a healthy store.
@@ -180,7 +180,7 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	value, err := io.ReadAll(io.LimitReader(r.Body, platform.MaxValueBytes+1))
+	value, err := io.ReadAll(io.LimitReader(r.Body, kv.MaxValueBytes+1))
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
@@ -265,7 +265,7 @@
 	writeJSON(w, struct{}{})
 }
 
-func bodyOf(e platform.Entry, deleted bool) entryBody {
+func bodyOf(e kv.Entry, deleted bool) entryBody {
 	return entryBody{e.Key, base64.StdEncoding.EncodeToString(e.Value), e.Revision, deleted}
 }
 
@@ -276,14 +276,14 @@
 
 func writeError(w http.ResponseWriter, err error, current uint64) {
 	switch {
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, kv.ErrNotFound):
 		http.Error(w, err.Error(), http.StatusNotFound)
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, kv.ErrConflict):
 		w.WriteHeader(http.StatusConflict)
 		_ = json.NewEncoder(w).Encode(conflictBody{current})
-	case errors.Is(err, platform.ErrLeaseGone):
+	case errors.Is(err, kv.ErrLeaseGone):
 		http.Error(w, err.Error(), http.StatusGone)
-	case errors.Is(err, platform.ErrTooLarge):
+	case errors.Is(err, kv.ErrTooLarge):
 		http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
 	default:
 		http.Error(w, err.Error(), http.StatusInternalServerError)
--- a/node/cli/apply.go
+++ b/node/cli/apply.go
@@ -13,7 +13,7 @@
 
 	"fuchsiavane.org/core/settings"
 	"fuchsiavane.org/node/edit"
-	"fuchsiavane.org/node/platform"
+	"fuchsiavane.org/node/kv"
 )
 
 // waitInterval is the pause between looks at which daemons have a revision.
@@ -122,7 +122,7 @@
 }
 
 // applyFailed shows what another operator changed, if that is the failure.
-func (c *command) applyFailed(ctx context.Context, store platform.Store, err error) error {
+func (c *command) applyFailed(ctx context.Context, store kv.Store, err error) error {
 	var failure *edit.ConflictError
 	if !errors.As(err, &failure) {
 		return c.away(err)
--- a/node/cli/settings.go
+++ b/node/cli/settings.go
@@ -15,8 +15,8 @@
 
 	"fuchsiavane.org/core/settings"
 	"fuchsiavane.org/node/edit"
-	"fuchsiavane.org/node/platform"
-	"fuchsiavane.org/node/platform/client"
+	"fuchsiavane.org/node/kv"
+	"fuchsiavane.org/node/kv/client"
 )
 
 func (c *command) settingsTree() *ffcli.Command {
@@ -252,7 +252,7 @@
 	} else {
 		head, err = edit.At(ctx, store, revision)
 	}
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, kv.ErrNotFound) {
 		return head, errors.New("the store holds no settings yet: make them with \"settings apply\"")
 	}
 	return head, c.away(err)
@@ -271,7 +271,7 @@
 	return errors.Wrapf(err, "the platform's store at %s can't be used", c.platform)
 }
 
-func (c *command) store() (platform.Store, error) {
+func (c *command) store() (kv.Store, error) {
 	if c.platform == "" {
 		return nil, usagef("-platform (or %s_PLATFORM) is needed", envPrefix)
 	}
--- a/node/cmd/fuchsiavaned/main.go
+++ b/node/cmd/fuchsiavaned/main.go
@@ -14,7 +14,7 @@
 	"fuchsiavane.org/node/config"
 	"fuchsiavane.org/node/daemon"
 	"fuchsiavane.org/node/event"
-	"fuchsiavane.org/node/platform/client"
+	"fuchsiavane.org/node/kv/client"
 )
 
 // Exit statuses.
--- a/node/daemon/daemon.go
+++ b/node/daemon/daemon.go
@@ -16,10 +16,10 @@
 	"fuchsiavane.org/node/config"
 	"fuchsiavane.org/node/event"
 	"fuchsiavane.org/node/gateway"
+	"fuchsiavane.org/node/kv"
 	"fuchsiavane.org/node/link"
 	"fuchsiavane.org/node/metrics"
 	"fuchsiavane.org/node/once"
-	"fuchsiavane.org/node/platform"
 	"fuchsiavane.org/node/runs"
 	"fuchsiavane.org/node/settingsync"
 	"fuchsiavane.org/node/suspect"
@@ -54,7 +54,7 @@
 }
 
 // New puts a daemon together. It opens no port.
-func New(c config.Config, store platform.Store, log *event.Logger) (*Daemon, error) {
+func New(c config.Config, store kv.Store, log *event.Logger) (*Daemon, error) {
 	base, err := url.Parse(c.Upstream)
 	if err != nil {
 		return nil, errors.Wrap(err, "upstream")
--- a/node/daemon/daemontest/daemontest.go
+++ b/node/daemon/daemontest/daemontest.go
@@ -19,7 +19,7 @@
 	"fuchsiavane.org/node/edit"
 	"fuchsiavane.org/node/event"
 	"fuchsiavane.org/node/freeport"
-	"fuchsiavane.org/node/platform"
+	"fuchsiavane.org/node/kv"
 )
 
 const (
@@ -52,7 +52,7 @@
 }
 
 // Start starts an instance and stops it when the test ends.
-func Start(t testing.TB, store platform.Store, o Options) *Instance {
+func Start(t testing.TB, store kv.Store, o Options) *Instance {
 	t.Helper()
 	upstream := httptest.NewServer(o.Upstream)
 	i := &Instance{Config: configOf(t, o, upstream.URL), Upstream: upstream, t: t, done: make(chan error, 1)}
@@ -101,7 +101,7 @@
 }
 
 // Apply makes a document the settings in the store.
-func Apply(t testing.TB, store platform.Store, document string) {
+func Apply(t testing.TB, store kv.Store, document string) {
 	t.Helper()
 	if _, err := edit.Apply(context.Background(), store, []byte(document), "test", nil); err != nil {
 		t.Fatal(err)
--- a/node/daemon/fleet_test.go
+++ b/node/daemon/fleet_test.go
@@ -13,8 +13,8 @@
 	"fuchsiavane.org/core/once"
 	"fuchsiavane.org/node/call"
 	"fuchsiavane.org/node/daemon/daemontest"
-	"fuchsiavane.org/node/platform"
-	"fuchsiavane.org/node/platform/memstore"
+	"fuchsiavane.org/node/kv"
+	"fuchsiavane.org/node/kv/memstore"
 )
 
 // ownersLimit bounds the wait until every key has an owner.
@@ -37,14 +37,14 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.away {
-		return platform.ErrUnavailable
+		return kv.ErrUnavailable
 	}
 	return nil
 }
 
-func (s *switchable) Get(ctx context.Context, key string) (platform.Entry, error) {
+func (s *switchable) Get(ctx context.Context, key string) (kv.Entry, error) {
 	if err := s.err(); err != nil {
-		return platform.Entry{}, err
+		return kv.Entry{}, err
 	}
 	return s.Store.Get(ctx, key)
 }
--- a/node/daemon/members.go
+++ b/node/daemon/members.go
@@ -10,9 +10,9 @@
 	"fuchsiavane.org/node/admin"
 	"fuchsiavane.org/node/config"
 	"fuchsiavane.org/node/event"
+	"fuchsiavane.org/node/kv"
 	"fuchsiavane.org/node/membership"
 	"fuchsiavane.org/node/metrics"
-	"fuchsiavane.org/node/platform"
 	"fuchsiavane.org/node/settingsync"
 )
 
@@ -33,7 +33,7 @@
 	group sync.WaitGroup
 }
 
-func newShared(c config.Config, store platform.Store, holder *settingsync.Holder, picker *route.Picker, m *metrics.Metrics, log *event.Logger) *shared {
+func newShared(c config.Config, store kv.Store, holder *settingsync.Holder, picker *route.Picker, m *metrics.Metrics, log *event.Logger) *shared {
 	s := &shared{
 		members: membership.New(membership.Config{
 			Self: member.Record{
--- a/node/daemon/once.go
+++ b/node/daemon/once.go
@@ -7,14 +7,14 @@
 
 	"fuchsiavane.org/core/route"
 	"fuchsiavane.org/node/event"
+	"fuchsiavane.org/node/kv"
 	"fuchsiavane.org/node/once"
-	"fuchsiavane.org/node/platform"
 	"fuchsiavane.org/node/suspect"
 )
 
 // guardOwn puts in front of the runner what decides whether a request may run
 // at all.
-func (d *Daemon) guardOwn(store platform.Store, base *url.URL) {
+func (d *Daemon) guardOwn(store kv.Store, base *url.URL) {
 	d.keeper = once.NewKeeper(once.Config{
 		Instance: d.config.InstanceID, Service: d.config.Service,
 		Store: store, Live: d.liveOfService, Log: d.log,
--- a/node/daemon/overload_test.go
+++ b/node/daemon/overload_test.go
@@ -14,7 +14,7 @@
 	"fuchsiavane.org/core/callctx"
 	"fuchsiavane.org/node/call"
 	"fuchsiavane.org/node/daemon/daemontest"
-	"fuchsiavane.org/node/platform/memstore"
+	"fuchsiavane.org/node/kv/memstore"
 )
 
 // caller is an upstream that calls the service deep once for each request.
--- a/node/daemon/path_bench_test.go
+++ b/node/daemon/path_bench_test.go
@@ -12,8 +12,8 @@
 	"fuchsiavane.org/node/config"
 	"fuchsiavane.org/node/event"
 	"fuchsiavane.org/node/freeport"
-	"fuchsiavane.org/node/platform"
-	"fuchsiavane.org/node/platform/memstore"
+	"fuchsiavane.org/node/kv"
+	"fuchsiavane.org/node/kv/memstore"
 )
 
 // BenchmarkPath makes calls through two daemons in this process, for profiles
@@ -56,7 +56,7 @@
 }
 
 // startDaemon runs a daemon on free loopback ports until the test ends.
-func startDaemon(t testing.TB, store platform.Store, service, upstream string) *Daemon {
+func startDaemon(t testing.TB, store kv.Store, service, upstream string) *Daemon {
 	t.Helper()
 	c := config.Config{
 		InstanceID: service + "-0", Service: service, Region: "south", DataCentre: "south-1",
--- a/node/daemon/ports_test.go
+++ b/node/daemon/ports_test.go
@@ -18,7 +18,7 @@
 
 	"fuchsiavane.org/node/call"
 	"fuchsiavane.org/node/daemon/daemontest"
-	"fuchsiavane.org/node/platform/memstore"
+	"fuchsiavane.org/node/kv/memstore"
 )
 
 // startPair starts an entry daemon and a daemon of service "deep" with the given
--- a/node/daemon/replacement_test.go
+++ b/node/daemon/replacement_test.go
@@ -12,8 +12,8 @@
 
 	"fuchsiavane.org/node/config"
 	"fuchsiavane.org/node/daemon/daemontest"
-	"fuchsiavane.org/node/platform"
-	"fuchsiavane.org/node/platform/memstore"
+	"fuchsiavane.org/node/kv"
+	"fuchsiavane.org/node/kv/memstore"
 )
 
 // slowUpstream answers after a while, so that a stop meets requests in progress.
@@ -111,7 +111,7 @@
 }
 
 // startBench starts an entry daemon and three instances of the service bench.
-func startBench(t *testing.T) (platform.Store, *daemontest.Instance, []*daemontest.Instance) {
+func startBench(t *testing.T) (kv.Store, *daemontest.Instance, []*daemontest.Instance) {
 	t.Helper()
 	store := memstore.New()
 	daemontest.Apply(t, store, `{"settings": {"timeout_ms": 5000, "queue_ms": 1000}}`)
--- a/node/daemon/routing_test.go
+++ b/node/daemon/routing_test.go
@@ -13,7 +13,7 @@
 
 	"fuchsiavane.org/node/admin"
 	"fuchsiavane.org/node/daemon/daemontest"
-	"fuchsiavane.org/node/platform/memstore"
+	"fuchsiavane.org/node/kv/memstore"
 )
 
 // counter is an upstream that answers at once and counts its runs.
--- a/node/daemon/suspect_test.go
+++ b/node/daemon/suspect_test.go
@@ -15,7 +15,7 @@
 	"fuchsiavane.org/core/once"
 	"fuchsiavane.org/node/call"
 	"fuchsiavane.org/node/daemon/daemontest"
-	"fuchsiavane.org/node/platform/memstore"
+	"fuchsiavane.org/node/kv/memstore"
 )
 
 // mortal is an upstream that dies, with all its connections, when it is asked
--- a/node/demo/demo.go
+++ b/node/demo/demo.go
@@ -20,7 +20,7 @@
 	"fuchsiavane.org/node/edit"
 	"fuchsiavane.org/node/event"
 	"fuchsiavane.org/node/freeport"
-	"fuchsiavane.org/node/platform/memstore"
+	"fuchsiavane.org/node/kv/memstore"
 )
 
 //go:embed settings.json
--- a/node/edit/edit.go
+++ b/node/edit/edit.go
@@ -19,7 +19,7 @@
 	"github.com/pkg/errors"
 
 	"fuchsiavane.org/core/settings"
-	"fuchsiavane.org/node/platform"
+	"fuchsiavane.org/node/kv"
 )
 
 // HeadKey is the key of the settings in force.
@@ -110,11 +110,11 @@
 func (e *UncertainError) Unwrap() error { return e.Err }
 
 // Read returns the head and the store's revision of its key.
-func Read(ctx context.Context, store platform.Store) (Head, uint64, error) {
+func Read(ctx context.Context, store kv.Store) (Head, uint64, error) {
 	return read(ctx, store, HeadKey)
 }
 
-func read(ctx context.Context, store platform.Store, key string) (Head, uint64, error) {
+func read(ctx context.Context, store kv.Store, key string) (Head, uint64, error) {
 	entry, err := store.Get(ctx, key)
 	if err != nil {
 		return Head{}, 0, err
@@ -139,14 +139,14 @@
 }
 
 // Apply checks a document and makes it the head; see Make.
-func Apply(ctx context.Context, store platform.Store, document []byte, author string, base *uint64) (Head, error) {
+func Apply(ctx context.Context, store kv.Store, document []byte, author string, base *uint64) (Head, error) {
 	return Make(ctx, store, Edit{Document: document, Author: author, Base: base})
 }
 
 // Make checks an edit and makes it the head. The error is settings.Findings, a
 // *ConflictError, an *UncertainError, or a failure of the store that changed
 // nothing.
-func Make(ctx context.Context, store platform.Store, e Edit) (Head, error) {
+func Make(ctx context.Context, store kv.Store, e Edit) (Head, error) {
 	if _, findings := settings.Parse(e.Document); len(findings) > 0 {
 		return Head{}, findings
 	}
@@ -154,7 +154,7 @@
 		return Head{}, err
 	}
 	current, storeRevision, err := Read(ctx, store)
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+	if err != nil && !errors.Is(err, kv.ErrNotFound) {
 		return Head{}, errors.Wrap(err, "nothing was changed")
 	}
 	if e.Base != nil && *e.Base != current.Revision {
@@ -194,7 +194,7 @@
 
 // put swaps the head. A write whose outcome is not known is sent again: the
 // compare-and-swap lets it take effect at most once.
-func put(ctx context.Context, store platform.Store, head, current Head, storeRevision uint64) (Head, error) {
+func put(ctx context.Context, store kv.Store, head, current Head, storeRevision uint64) (Head, error) {
 	value, err := json.Marshal(head)
 	if err != nil {
 		return Head{}, errors.Wrap(err, "settings head")
@@ -205,10 +205,10 @@
 		if putErr == nil {
 			return head, nil
 		}
-		if errors.Is(putErr, platform.ErrTooLarge) {
+		if errors.Is(putErr, kv.ErrTooLarge) {
 			return Head{}, putErr
 		}
-		uncertain = uncertain || !errors.Is(putErr, platform.ErrUnavailable)
+		uncertain = uncertain || !errors.Is(putErr, kv.ErrUnavailable)
 		settled, err := settle(ctx, store, head, current, storeRevision)
 		if settled {
 			return head, err
@@ -225,7 +225,7 @@
 
 // settle reads what became of a write that failed or whose answer was lost. It
 // reports false while that is open.
-func settle(ctx context.Context, store platform.Store, head, current Head, storeRevision uint64) (bool, error) {
+func settle(ctx context.Context, store kv.Store, head, current Head, storeRevision uint64) (bool, error) {
 	now, revision, err := Read(ctx, store)
 	if err != nil {
 		return false, nil
--- a/node/edit/edit_test.go
+++ b/node/edit/edit_test.go
@@ -13,13 +13,13 @@
 	"github.com/pkg/errors"
 
 	"fuchsiavane.org/core/settings"
-	"fuchsiavane.org/node/platform"
-	"fuchsiavane.org/node/platform/memstore"
+	"fuchsiavane.org/node/kv"
+	"fuchsiavane.org/node/kv/memstore"
 )
 
 // hookStore lets a test act around the writes of a store.
 type hookStore struct {
-	platform.Store
+	kv.Store
 	before func(key string) error // an error is returned in place of the write
 	after  func(key string) error // an error is returned after the write
 }
@@ -41,7 +41,7 @@
 
 func document(slots int) []byte { return []byte(fmt.Sprintf(`{"settings": {"slots": %d}}`, slots)) }
 
-func mustApply(t *testing.T, store platform.Store, slots int) Head {
+func mustApply(t *testing.T, store kv.Store, slots int) Head {
 	t.Helper()
 	head, err := Apply(t.Context(), store, document(slots), "first", nil)
 	if err != nil {
@@ -123,10 +123,10 @@
 	is := is.New(t)
 	store := &hookStore{Store: memstore.New()}
 	var uncertain *UncertainError
-	store.before = func(string) error { return platform.ErrUnavailable }
+	store.before = func(string) error { return kv.ErrUnavailable }
 	_, err := Apply(t.Context(), store, document(2), "second", nil)
 	is.True(!errors.As(err, &uncertain)) // the store took no call
-	is.True(errors.Is(err, platform.ErrUnavailable))
+	is.True(errors.Is(err, kv.ErrUnavailable))
 	store.before = func(string) error { return errLost }
 	_, err = Apply(t.Context(), store, document(2), "second", nil)
 	is.True(errors.As(err, &uncertain)) // a write may still take effect
@@ -196,7 +196,7 @@
 	}
 	value, err := json.Marshal(head)
 	is.NoErr(err)
-	is.True(len(value) <= platform.MaxValueBytes)
+	is.True(len(value) <= kv.MaxValueBytes)
 }
 
 func TestAuthorIsBounded(t *testing.T) {
--- a/node/edit/history.go
+++ b/node/edit/history.go
@@ -7,7 +7,7 @@
 
 	"github.com/pkg/errors"
 
-	"fuchsiavane.org/node/platform"
+	"fuchsiavane.org/node/kv"
 )
 
 // historyKey returns the key of a replaced revision. The keys form a ring, so
@@ -18,7 +18,7 @@
 
 // keep stores a head that is about to be replaced. Several operators may keep
 // the same head at once; a newer revision in its place is left alone.
-func keep(ctx context.Context, store platform.Store, head Head) error {
+func keep(ctx context.Context, store kv.Store, head Head) error {
 	if head.Revision == 0 {
 		return nil
 	}
@@ -32,7 +32,7 @@
 		if err == nil && kept.Revision >= head.Revision {
 			return nil
 		}
-		if err == nil || errors.Is(err, platform.ErrNotFound) {
+		if err == nil || errors.Is(err, kv.ErrNotFound) {
 			_, err = store.Put(ctx, key, value, storeRevision, "")
 		}
 		if err == nil {
@@ -48,13 +48,13 @@
 var ErrNotKept = errors.New("the revision is neither in force nor kept in the history")
 
 // At returns the head as it was at a revision.
-func At(ctx context.Context, store platform.Store, revision uint64) (Head, error) {
+func At(ctx context.Context, store kv.Store, revision uint64) (Head, error) {
 	head, _, err := Read(ctx, store)
 	if err != nil || head.Revision == revision {
 		return head, err
 	}
 	kept, _, err := read(ctx, store, historyKey(revision))
-	if errors.Is(err, platform.ErrNotFound) || (err == nil && kept.Revision != revision) {
+	if errors.Is(err, kv.ErrNotFound) || (err == nil && kept.Revision != revision) {
 		return Head{}, errors.Wrapf(ErrNotKept, "revision %d", revision)
 	}
 	return kept, err
--- a/node/edit/linearizable_test.go
+++ b/node/edit/linearizable_test.go
@@ -13,14 +13,14 @@
 	"github.com/anishathalye/porcupine"
 	"github.com/pkg/errors"
 
-	"fuchsiavane.org/node/platform"
-	"fuchsiavane.org/node/platform/memstore"
+	"fuchsiavane.org/node/kv"
+	"fuchsiavane.org/node/kv/memstore"
 )
 
 // flakyStore loses requests and answers, and lets writes whose answer was lost
 // take effect late.
 type flakyStore struct {
-	platform.Store
+	kv.Store
 	mu     sync.Mutex
 	random *rand.Rand
 	late   sync.WaitGroup
@@ -36,10 +36,10 @@
 
 func (s *flakyStore) pause() { time.Sleep(time.Duration(s.draw(300)) * time.Millisecond) }
 
-func (s *flakyStore) Get(ctx context.Context, key string) (platform.Entry, error) {
+func (s *flakyStore) Get(ctx context.Context, key string) (kv.Entry, error) {
 	s.pause()
 	if s.draw(10) == 0 {
-		return platform.Entry{}, errLost
+		return kv.Entry{}, errLost
 	}
 	return s.Store.Get(ctx, key)
 }
@@ -128,7 +128,7 @@
 			for range 6 {
 				call := clock.Add(1)
 				head, _, err := Read(t.Context(), store)
-				if err != nil && !errors.Is(err, platform.ErrNotFound) {
+				if err != nil && !errors.Is(err, kv.ErrNotFound) {
 					continue
 				}
 				base := head.Revision
--- a/node/platform/client/client.go
+++ b/node/kv/client/client.go
@@ -15,7 +15,7 @@
 	"github.com/dghubble/sling"
 	"github.com/pkg/errors"
 
-	"fuchsiavane.org/node/platform"
+	"fuchsiavane.org/node/kv"
 )
 
 // callTimeout bounds one call that is not a watch.
@@ -27,13 +27,13 @@
 // maxResponse bounds a response body in bytes.
 const maxResponse = 64 << 20
 
-// Client is a platform.Store over HTTP. It is safe for concurrent use.
+// Client is a kv.Store over HTTP. It is safe for concurrent use.
 type Client struct {
 	base *sling.Sling
 	http *http.Client
 }
 
-var _ platform.Store = (*Client)(nil)
+var _ kv.Store = (*Client)(nil)
 
 // New returns a Client for a base URL.
 func New(baseURL string) (*Client, error) {
@@ -76,23 +76,23 @@
 	ID       string      `json:"id"`
 }
 
-// Get implements platform.Store.
-func (c *Client) Get(ctx context.Context, key string) (platform.Entry, error) {
+// Get implements kv.Store.
+func (c *Client) Get(ctx context.Context, key string) (kv.Entry, error) {
 	response, body, err := c.do(ctx, c.base.New().Get("v1/kv/"+escapeKey(key)), callTimeout)
 	if err != nil {
-		return platform.Entry{}, err
+		return kv.Entry{}, err
 	}
 	revision, err := strconv.ParseUint(response.Header.Get("Revision"), 10, 64)
 	if err != nil {
-		return platform.Entry{}, errors.Wrap(err, "platform: header Revision")
+		return kv.Entry{}, errors.Wrap(err, "platform: header Revision")
 	}
-	return platform.Entry{Key: key, Value: body, Revision: revision}, nil
+	return kv.Entry{Key: key, Value: body, Revision: revision}, nil
 }
 
-// Put implements platform.Store.
+// Put implements kv.Store.
 func (c *Client) Put(ctx context.Context, key string, value []byte, ifRevision uint64, lease string) (uint64, error) {
-	if len(value) > platform.MaxValueBytes {
-		return 0, platform.ErrTooLarge
+	if len(value) > kv.MaxValueBytes {
+		return 0, kv.ErrTooLarge
 	}
 	request := c.base.New().Put("v1/kv/" + escapeKey(key)).
 		QueryStruct(putParams{ifRevision, lease}).
@@ -101,20 +101,20 @@
 	return r.Revision, err
 }
 
-// Delete implements platform.Store.
+// Delete implements kv.Store.
 func (c *Client) Delete(ctx context.Context, key string, ifRevision uint64) error {
 	request := c.base.New().Delete("v1/kv/" + escapeKey(key)).QueryStruct(putParams{IfRevision: ifRevision})
 	_, _, err := c.do(ctx, request, callTimeout)
 	return err
 }
 
-// List implements platform.Store.
-func (c *Client) List(ctx context.Context, prefix string) ([]platform.Entry, uint64, error) {
+// List implements kv.Store.
+func (c *Client) List(ctx context.Context, prefix string) ([]kv.Entry, uint64, error) {
 	r, err := c.json(ctx, c.base.New().Get("v1/list").QueryStruct(listParams{prefix}), callTimeout)
 	if err != nil {
 		return nil, 0, err
 	}
-	entries := make([]platform.Entry, len(r.Entries))
+	entries := make([]kv.Entry, len(r.Entries))
 	for i, e := range r.Entries {
 		if entries[i], err = e.entry(); err != nil {
 			return nil, 0, err
@@ -123,20 +123,20 @@
 	return entries, r.Revision, nil
 }
 
-// Watch implements platform.Store.
-func (c *Client) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]platform.Change, uint64, error) {
+// Watch implements kv.Store.
+func (c *Client) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]kv.Change, uint64, error) {
 	request := c.base.New().Get("v1/watch").QueryStruct(watchParams{prefix, after, wait.Milliseconds()})
 	r, err := c.json(ctx, request, wait+watchGrace)
 	if err != nil {
 		return nil, 0, err
 	}
-	changes := make([]platform.Change, len(r.Events))
+	changes := make([]kv.Change, len(r.Events))
 	for i, e := range r.Events {
 		entry, err := e.entry()
 		if err != nil {
 			return nil, 0, err
 		}
-		changes[i] = platform.Change{Entry: entry, Deleted: e.Deleted}
+		changes[i] = kv.Change{Entry: entry, Deleted: e.Deleted}
 	}
 	return changes, r.Revision, nil
 }
@@ -145,27 +145,27 @@
 	TTL int64 `json:"ttl_ms"`
 }
 
-// Grant implements platform.Store.
+// Grant implements kv.Store.
 func (c *Client) Grant(ctx context.Context, ttl time.Duration) (string, error) {
 	r, err := c.json(ctx, c.base.New().Post("v1/leases").BodyJSON(grantBody{ttl.Milliseconds()}), callTimeout)
 	return r.ID, err
 }
 
-// KeepAlive implements platform.Store.
+// KeepAlive implements kv.Store.
 func (c *Client) KeepAlive(ctx context.Context, lease string) error {
 	_, _, err := c.do(ctx, c.base.New().Post("v1/leases/"+url.PathEscape(lease)+"/keepalive"), callTimeout)
 	return leaseError(err)
 }
 
-// Revoke implements platform.Store.
+// Revoke implements kv.Store.
 func (c *Client) Revoke(ctx context.Context, lease string) error {
 	_, _, err := c.do(ctx, c.base.New().Delete("v1/leases/"+url.PathEscape(lease)), callTimeout)
 	return leaseError(err)
 }
 
 func leaseError(err error) error {
-	if errors.Is(err, platform.ErrNotFound) {
-		return platform.ErrLeaseGone
+	if errors.Is(err, kv.ErrNotFound) {
+		return kv.ErrLeaseGone
 	}
 	return err
 }
@@ -203,25 +203,25 @@
 	case status < 300:
 		return nil
 	case status == http.StatusNotFound:
-		return platform.ErrNotFound
+		return kv.ErrNotFound
 	case status == http.StatusConflict:
-		return platform.ErrConflict
+		return kv.ErrConflict
 	case status == http.StatusGone:
-		return platform.ErrLeaseGone
+		return kv.ErrLeaseGone
 	case status == http.StatusRequestEntityTooLarge:
-		return platform.ErrTooLarge
+		return kv.ErrTooLarge
 	case status == http.StatusServiceUnavailable:
-		return platform.ErrUnavailable
+		return kv.ErrUnavailable
 	}
 	return errors.Errorf("platform: status %d", status)
 }
 
-func (e entryBody) entry() (platform.Entry, error) {
+func (e entryBody) entry() (kv.Entry, error) {
 	value, err := base64.StdEncoding.DecodeString(e.Value)
 	if err != nil {
-		return platform.Entry{}, errors.Wrapf(err, "platform: value of %s", e.Key)
+		return kv.Entry{}, errors.Wrapf(err, "platform: value of %s", e.Key)
 	}
-	return platform.Entry{Key: e.Key, Value: value, Revision: e.Revision}, nil
+	return kv.Entry{Key: e.Key, Value: value, Revision: e.Revision}, nil
 }
 
 // escapeKey escapes each segment of a key, so that slashes stay.
--- a/node/platform/store.go
+++ b/node/kv/kv.go
@@ -1,7 +1,7 @@
-// Package platform is the seam to the platform's key-value store: a small store
+// Package kv is the seam to the platform's key-value store: a small store
 // with compare-and-swap, leases and watches. Everything that has to be agreed
 // or kept lives there.
-package platform
+package kv
 
 import (
 	"context"
@@ -17,15 +17,15 @@
 // write may have taken effect.
 var (
 	// ErrNotFound means that the key does not exist.
-	ErrNotFound = errors.New("platform: no such key")
+	ErrNotFound = errors.New("kv: no such key")
 	// ErrConflict means that the compare-and-swap failed: nothing was written.
-	ErrConflict = errors.New("platform: the key is at another revision")
+	ErrConflict = errors.New("kv: the key is at another revision")
 	// ErrLeaseGone means that the lease lapsed.
-	ErrLeaseGone = errors.New("platform: no such lease")
+	ErrLeaseGone = errors.New("kv: no such lease")
 	// ErrTooLarge means that the value is larger than MaxValueBytes.
-	ErrTooLarge = errors.New("platform: the value is too large")
+	ErrTooLarge = errors.New("kv: the value is too large")
 	// ErrUnavailable means that the store did not take the call.
-	ErrUnavailable = errors.New("platform: the store is away")
+	ErrUnavailable = errors.New("kv: the store is away")
 )
 
 // Entry is a key with its value.
--- a/node/platform/memstore/memstore.go
+++ b/node/kv/memstore/memstore.go
@@ -10,7 +10,7 @@
 	"sync"
 	"time"
 
-	"fuchsiavane.org/node/platform"
+	"fuchsiavane.org/node/kv"
 )
 
 // historyLimit bounds the changes kept for watches.
@@ -27,17 +27,17 @@
 	expires time.Time
 }
 
-// Store is a platform.Store in memory.
+// Store is a kv.Store in memory.
 type Store struct {
 	mu       sync.Mutex
 	revision uint64
 	records  map[string]record
 	leases   map[string]*lease
-	history  []platform.Change
+	history  []kv.Change
 	changed  chan struct{} // closed and replaced at each change
 }
 
-var _ platform.Store = (*Store)(nil)
+var _ kv.Store = (*Store)(nil)
 
 // New returns an empty Store.
 func New() *Store {
@@ -48,72 +48,72 @@
 	}
 }
 
-// Get implements platform.Store.
-func (s *Store) Get(_ context.Context, key string) (platform.Entry, error) {
+// Get implements kv.Store.
+func (s *Store) Get(_ context.Context, key string) (kv.Entry, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expire()
 	r, ok := s.records[key]
 	if !ok {
-		return platform.Entry{}, platform.ErrNotFound
+		return kv.Entry{}, kv.ErrNotFound
 	}
-	return platform.Entry{Key: key, Value: r.value, Revision: r.revision}, nil
+	return kv.Entry{Key: key, Value: r.value, Revision: r.revision}, nil
 }
 
-// Put implements platform.Store.
+// Put implements kv.Store.
 func (s *Store) Put(_ context.Context, key string, value []byte, ifRevision uint64, leaseID string) (uint64, error) {
-	if len(value) > platform.MaxValueBytes {
-		return 0, platform.ErrTooLarge
+	if len(value) > kv.MaxValueBytes {
+		return 0, kv.ErrTooLarge
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expire()
 	if s.records[key].revision != ifRevision {
-		return s.records[key].revision, platform.ErrConflict
+		return s.records[key].revision, kv.ErrConflict
 	}
 	if _, ok := s.leases[leaseID]; leaseID != "" && !ok {
-		return 0, platform.ErrLeaseGone
+		return 0, kv.ErrLeaseGone
 	}
 	s.revision++
 	kept := append([]byte(nil), value...)
 	s.records[key] = record{kept, s.revision, leaseID}
-	s.record(platform.Change{Entry: platform.Entry{Key: key, Value: kept, Revision: s.revision}})
+	s.record(kv.Change{Entry: kv.Entry{Key: key, Value: kept, Revision: s.revision}})
 	return s.revision, nil
 }
 
-// Delete implements platform.Store.
+// Delete implements kv.Store.
 func (s *Store) Delete(_ context.Context, key string, ifRevision uint64) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expire()
 	r, ok := s.records[key]
 	if !ok {
-		return platform.ErrNotFound
+		return kv.ErrNotFound
 	}
 	if r.revision != ifRevision {
-		return platform.ErrConflict
+		return kv.ErrConflict
 	}
 	s.remove(key)
 	return nil
 }
 
-// List implements platform.Store.
-func (s *Store) List(_ context.Context, prefix string) ([]platform.Entry, uint64, error) {
+// List implements kv.Store.
+func (s *Store) List(_ context.Context, prefix string) ([]kv.Entry, uint64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expire()
-	var entries []platform.Entry
+	var entries []kv.Entry
 	for key, r := range s.records {
 		if strings.HasPrefix(key, prefix) {
-			entries = append(entries, platform.Entry{Key: key, Value: r.value, Revision: r.revision})
+			entries = append(entries, kv.Entry{Key: key, Value: r.value, Revision: r.revision})
 		}
 	}
 	sort.Slice(entries, func(i, j int) bool { return entries[i].Key < entries[j].Key })
 	return entries, s.revision, nil
 }
 
-// Watch implements platform.Store.
-func (s *Store) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]platform.Change, uint64, error) {
+// Watch implements kv.Store.
+func (s *Store) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]kv.Change, uint64, error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
@@ -131,12 +131,12 @@
 	}
 }
 
-func (s *Store) since(prefix string, after uint64) ([]platform.Change, uint64, <-chan struct{}) {
+func (s *Store) since(prefix string, after uint64) ([]kv.Change, uint64, <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expire()
 	first := sort.Search(len(s.history), func(i int) bool { return s.history[i].Revision > after })
-	var changes []platform.Change
+	var changes []kv.Change
 	for _, c := range s.history[first:] {
 		if strings.HasPrefix(c.Key, prefix) {
 			changes = append(changes, c)
@@ -145,7 +145,7 @@
 	return changes, s.revision, s.changed
 }
 
-// Grant implements platform.Store.
+// Grant implements kv.Store.
 func (s *Store) Grant(_ context.Context, ttl time.Duration) (string, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -155,25 +155,25 @@
 	return id, nil
 }
 
-// KeepAlive implements platform.Store.
+// KeepAlive implements kv.Store.
 func (s *Store) KeepAlive(_ context.Context, id string) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expire()
 	l, ok := s.leases[id]
 	if !ok {
-		return platform.ErrLeaseGone
+		return kv.ErrLeaseGone
 	}
 	l.expires = time.Now().Add(l.ttl)
 	return nil
 }
 
-// Revoke implements platform.Store.
+// Revoke implements kv.Store.
 func (s *Store) Revoke(_ context.Context, id string) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if _, ok := s.leases[id]; !ok {
-		return platform.ErrLeaseGone
+		return kv.ErrLeaseGone
 	}
 	s.end(id)
 	return nil
@@ -201,13 +201,13 @@
 func (s *Store) remove(key string) {
 	s.revision++
 	delete(s.records, key)
-	s.record(platform.Change{Entry: platform.Entry{Key: key, Revision: s.revision}, Deleted: true})
+	s.record(kv.Change{Entry: kv.Entry{Key: key, Revision: s.revision}, Deleted: true})
 }
 
-func (s *Store) record(c platform.Change) {
+func (s *Store) record(c kv.Change) {
 	s.history = append(s.history, c)
 	if len(s.history) > historyLimit {
-		s.history = append([]platform.Change(nil), s.history[historyLimit/10:]...)
+		s.history = append([]kv.Change(nil), s.history[historyLimit/10:]...)
 	}
 	close(s.changed)
 	s.changed = make(chan struct{})
--- a/node/membership/join.go
+++ b/node/membership/join.go
@@ -11,7 +11,7 @@
 
 	"fuchsiavane.org/core/member"
 	"fuchsiavane.org/node/backoff"
-	"fuchsiavane.org/node/platform"
+	"fuchsiavane.org/node/kv"
 )
 
 const (
@@ -87,7 +87,7 @@
 	return joinInterval/2 + rand.N(joinInterval)
 }
 
-func addrsOf(entries []platform.Entry) []string {
+func addrsOf(entries []kv.Entry) []string {
 	addrs := make([]string, len(entries))
 	for i, e := range entries {
 		addrs[i] = string(e.Value)
@@ -97,7 +97,7 @@
 
 // register writes the own address to the own slot unless it stands there. A
 // conflict, or a write whose answer was lost, is settled by the next round.
-func (j *joiner) register(ctx context.Context, entries []platform.Entry) error {
+func (j *joiner) register(ctx context.Context, entries []kv.Entry) error {
 	slot := slices.Index(j.d.relays(ctx), j.d.config.Self.ID)
 	if slot < 0 {
 		return nil
@@ -115,7 +115,7 @@
 	}
 	j.d.counts.storeCalls.Inc()
 	_, err := j.d.config.Store.Put(ctx, key, []byte(j.d.config.Self.Addr), revision, "")
-	if errors.Is(err, platform.ErrConflict) {
+	if errors.Is(err, kv.ErrConflict) {
 		return nil
 	}
 	return err
--- a/node/membership/membership.go
+++ b/node/membership/membership.go
@@ -17,8 +17,8 @@
 	"fuchsiavane.org/core/member"
 	"fuchsiavane.org/core/route"
 	"fuchsiavane.org/node/event"
+	"fuchsiavane.org/node/kv"
 	"fuchsiavane.org/node/metrics"
-	"fuchsiavane.org/node/platform"
 	"fuchsiavane.org/node/seal"
 )
 
@@ -46,7 +46,7 @@
 	// Peers are addresses to join by besides those in the store.
 	Peers   []string
 	Key     []byte
-	Store   platform.Store
+	Store   kv.Store
 	Picker  *route.Picker
 	Metrics *metrics.Metrics
 	Log     *event.Logger
--- a/node/membership/membership_test.go
+++ b/node/membership/membership_test.go
@@ -14,16 +14,16 @@
 	"fuchsiavane.org/core/route"
 	"fuchsiavane.org/node/event"
 	"fuchsiavane.org/node/freeport"
+	"fuchsiavane.org/node/kv"
+	"fuchsiavane.org/node/kv/memstore"
 	"fuchsiavane.org/node/metrics"
-	"fuchsiavane.org/node/platform"
-	"fuchsiavane.org/node/platform/memstore"
 )
 
 // limit bounds the waits on real time.
 const limit = 20 * time.Second
 
 // start runs a duty with its peer port until the test ends.
-func start(t *testing.T, store platform.Store, id, key string, peers ...string) *Duty {
+func start(t *testing.T, store kv.Store, id, key string, peers ...string) *Duty {
 	t.Helper()
 	addrs, err := freeport.Addrs(1)
 	if err != nil {
@@ -87,10 +87,10 @@
 }
 
 // awayStore is a store that takes no call.
-type awayStore struct{ platform.Store }
+type awayStore struct{ kv.Store }
 
-func (awayStore) List(context.Context, string) ([]platform.Entry, uint64, error) {
-	return nil, 0, platform.ErrUnavailable
+func (awayStore) List(context.Context, string) ([]kv.Entry, uint64, error) {
+	return nil, 0, kv.ErrUnavailable
 }
 
 func TestJoinByPeersWhileStoreIsAway(t *testing.T) {
--- a/node/once/keeper.go
+++ b/node/once/keeper.go
@@ -16,7 +16,7 @@
 
 	core "fuchsiavane.org/core/once"
 	"fuchsiavane.org/node/event"
-	"fuchsiavane.org/node/platform"
+	"fuchsiavane.org/node/kv"
 )
 
 const (
@@ -51,7 +51,7 @@
 type Config struct {
 	Instance string
 	Service  string
-	Store    platform.Store
+	Store    kv.Store
 	// Live returns the instances of the service that take new work, the own
 	// one among them.
 	Live func() []string
@@ -258,7 +258,7 @@
 			k.adopt(wanted)
 			return nil
 		}
-		if !errors.Is(last, platform.ErrConflict) {
+		if !errors.Is(last, kv.ErrConflict) {
 			k.count(func(c *Counters) { c.Failures++ })
 		}
 		pause(ctx, rand.N(conflictPause))
@@ -278,7 +278,7 @@
 func (k *Keeper) get(ctx context.Context) (core.Table, uint64, error) {
 	k.count(func(c *Counters) { c.Reads++ })
 	entry, err := k.config.Store.Get(ctx, tableKey(k.config.Service))
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, kv.ErrNotFound) {
 		return core.Table{}, 0, nil
 	}
 	if err != nil {
--- a/node/once/once_test.go
+++ b/node/once/once_test.go
@@ -18,8 +18,8 @@
 	core "fuchsiavane.org/core/once"
 	"fuchsiavane.org/node/call"
 	"fuchsiavane.org/node/event"
-	"fuchsiavane.org/node/platform"
-	"fuchsiavane.org/node/platform/memstore"
+	"fuchsiavane.org/node/kv"
+	"fuchsiavane.org/node/kv/memstore"
 )
 
 // store is a memstore that fails on request.
@@ -36,11 +36,11 @@
 	s.down, s.lose = down, lose
 }
 
-func (s *store) Get(ctx context.Context, key string) (platform.Entry, error) {
+func (s *store) Get(ctx context.Context, key string) (kv.Entry, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.down {
-		return platform.Entry{}, platform.ErrUnavailable
+		return kv.Entry{}, kv.ErrUnavailable
 	}
 	return s.Store.Get(ctx, key)
 }
@@ -50,7 +50,7 @@
 	defer s.mu.Unlock()
 	s.writes++
 	if s.down {
-		return 0, platform.ErrUnavailable
+		return 0, kv.ErrUnavailable
 	}
 	revision, err := s.Store.Put(ctx, key, value, ifRevision, lease)
 	if s.lose {
--- a/node/once/opaque.go
+++ b/node/once/opaque.go
@@ -11,7 +11,7 @@
 	"github.com/pkg/errors"
 
 	"fuchsiavane.org/node/call"
-	"fuchsiavane.org/node/platform"
+	"fuchsiavane.org/node/kv"
 )
 
 // forgetTimeout bounds the removal of the record of a key that did not run.
@@ -20,7 +20,7 @@
 // opaqueKeys runs requests whose keys carry no birth time. Each costs one
 // create in the platform's store, before the run; the record stays.
 type opaqueKeys struct {
-	store   platform.Store
+	store   kv.Store
 	service string
 	most    int
 
@@ -34,7 +34,7 @@
 	print uint64
 }
 
-func newOpaqueKeys(store platform.Store, service string, most int) *opaqueKeys {
+func newOpaqueKeys(store kv.Store, service string, most int) *opaqueKeys {
 	return &opaqueKeys{store: store, service: service, most: most, flights: map[string]*opaqueFlight{}}
 }
 
@@ -90,7 +90,7 @@
 	if err == nil {
 		return revision, nil
 	}
-	if errors.Is(err, platform.ErrConflict) {
+	if errors.Is(err, kv.ErrConflict) {
 		return 0, repeat("the key has run, or may have run")
 	}
 	entry, readErr := o.store.Get(ctx, o.recordKey(key))
--- a/node/settingsync/sync.go
+++ b/node/settingsync/sync.go
@@ -14,8 +14,8 @@
 	"fuchsiavane.org/node/backoff"
 	"fuchsiavane.org/node/edit"
 	"fuchsiavane.org/node/event"
+	"fuchsiavane.org/node/kv"
 	"fuchsiavane.org/node/metrics"
-	"fuchsiavane.org/node/platform"
 )
 
 const (
@@ -53,7 +53,7 @@
 
 // Config is what a Syncer needs.
 type Config struct {
-	Store    platform.Store
+	Store    kv.Store
 	Holder   *Holder
 	Exchange *Exchange
 	Peers    Peers
@@ -148,7 +148,7 @@
 func (s *Syncer) readHead(ctx context.Context) (uint64, error) {
 	s.count("read")
 	head, revision, err := edit.Read(ctx, s.config.Store)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, kv.ErrNotFound) {
 		return 0, s.awaitFirst(ctx)
 	}
 	if err != nil {
--- a/node/settingsync/sync_test.go
+++ b/node/settingsync/sync_test.go
@@ -17,9 +17,9 @@
 	"fuchsiavane.org/core/member"
 	"fuchsiavane.org/node/edit"
 	"fuchsiavane.org/node/event"
+	"fuchsiavane.org/node/kv"
+	"fuchsiavane.org/node/kv/memstore"
 	"fuchsiavane.org/node/metrics"
-	"fuchsiavane.org/node/platform"
-	"fuchsiavane.org/node/platform/memstore"
 	"fuchsiavane.org/node/seal"
 )
 
@@ -50,7 +50,7 @@
 
 // countingStore counts calls by second and can be away.
 type countingStore struct {
-	platform.Store
+	kv.Store
 
 	mu    sync.Mutex
 	away  bool
@@ -62,7 +62,7 @@
 	defer c.mu.Unlock()
 	c.calls[time.Now().Unix()]++
 	if c.away {
-		return platform.ErrUnavailable
+		return kv.ErrUnavailable
 	}
 	return nil
 }
@@ -73,28 +73,28 @@
 	c.away = away
 }
 
-func (c *countingStore) Get(ctx context.Context, key string) (platform.Entry, error) {
+func (c *countingStore) Get(ctx context.Context, key string) (kv.Entry, error) {
 	if err := c.call(); err != nil {
-		return platform.Entry{}, err
+		return kv.Entry{}, err
 	}
 	return c.Store.Get(ctx, key)
 }
 
-func (c *countingStore) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]platform.Change, uint64, error) {
+func (c *countingStore) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]kv.Change, uint64, error) {
 	if err := c.call(); err != nil {
 		return nil, 0, err
 	}
 	return c.Store.Watch(ctx, prefix, after, wait)
 }
 
-func newSyncer(store platform.Store, peers Peers, log *event.Logger) (*Syncer, *Holder) {
+func newSyncer(store kv.Store, peers Peers, log *event.Logger) (*Syncer, *Holder) {
 	holder := NewHolder()
 	return NewSyncer(Config{
 		Store: store, Holder: holder, Exchange: NewExchange(holder, nil), Peers: peers, Metrics: metrics.New(), Log: log,
 	}), holder
 }
 
-func apply(t *testing.T, store platform.Store, document string) {
+func apply(t *testing.T, store kv.Store, document string) {
 	t.Helper()
 	if _, err := edit.Apply(context.Background(), store, []byte(document), "test", nil); err != nil {
 		t.Fatal(err)
@@ -120,7 +120,7 @@
 		time.Sleep(time.Minute)
 		store.setAway(true)
 		time.Sleep(10 * time.Minute)
-		apply(t, store.Store, `{"settings": {"slots": 7}}`)
+		apply(t, kv.Store, `{"settings": {"slots": 7}}`)
 		store.setAway(false)
 		back := time.Now().Unix()
 		time.Sleep(storeMost)
