--- a/node/settingsync/sync_test.go
+++ b/node/settingsync/sync_test.go
@@ -120,7 +120,7 @@
 		time.Sleep(time.Minute)
 		store.setAway(true)
 		time.Sleep(10 * time.Minute)
-		apply(t, kv.Store, `{"settings": {"slots": 7}}`)
+		apply(t, store.Store, `{"settings": {"slots": 7}}`)
 		store.setAway(false)
 		back := time.Now().Unix()
 		time.Sleep(storeMost)
