Run on the platform: adapter, routes by host and prefix, upstream announcements

Cause: the users' platform fixes how services, operators and instances talk. Change: platform/ translates settings file, store, announcements and headers; core/settings gains routes, node/presence follows the upstream, node/gateway a routed port, node/event a writer that never blocks. The two programs move to the module cmd.

--- a/node/cmd/fuchsiavaned/main.go
+++ b/cmd/fuchsiavaned/main.go
@@ -15,6 +15,7 @@
 	"fuchsiavane.org/node/daemon"
 	"fuchsiavane.org/node/event"
 	"fuchsiavane.org/node/kv/client"
+	"fuchsiavane.org/platform"
 )
 
 // Exit statuses.
@@ -25,7 +26,14 @@
 
 func main() { os.Exit(run()) }
 
+// besideCommand runs the daemon on the users' platform, by the settings file
+// that the platform names in the environment.
+const besideCommand = "beside"
+
 func run() int {
+	if len(os.Args) == 2 && os.Args[1] == besideCommand {
+		return runBeside()
+	}
 	c, err := config.Parse(os.Args[1:], os.Stderr)
 	if errors.Is(err, flag.ErrHelp) {
 		return 0
@@ -54,3 +62,12 @@
 	}
 	return 0
 }
+
+func runBeside() int {
+	daemon.TuneRuntime()
+	if err := platform.Run(os.Getenv(platform.FileVariable)); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitFailed
+	}
+	return 0
+}
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -167,6 +167,18 @@
 	return m.tellSome()
 }
 
+// Rest tells the peers that this instance takes no work for now, or takes work
+// again.
+func (m *Member) Rest(now time.Duration, resting bool) []Outgoing {
+	m.now = max(m.now, now)
+	if m.self.Leaving == resting {
+		return nil
+	}
+	m.self.Leaving = resting
+	m.renew(m.self.Incarnation + 1)
+	return m.tellSome()
+}
+
 // Gone is the last word of a member that stops.
 func (m *Member) Gone(now time.Duration) []Outgoing {
 	m.now = max(m.now, now)
--- a/core/settings/document.go
+++ b/core/settings/document.go
@@ -15,6 +15,7 @@
 	ranks    []Rank
 	root     scope
 	services map[string]*service
+	routes   map[routeKey]*Route
 }
 
 // scope is one level of the tree with the values that hold there.
@@ -86,6 +87,9 @@
 			}
 		}
 	}
+	for _, r := range d.routes {
+		forget(r.overrides)
+	}
 }
 
 func (s *scope) forgetPlaces() { forget(s.overrides) }
@@ -113,6 +117,7 @@
 	c.object(n, map[string]func(*jsontree.Node){
 		"settings": func(v *jsontree.Node) { d.root.overrides = c.overrides(v, LevelRoot) },
 		"ranks":    func(v *jsontree.Node) { d.ranks = c.ranks(v) },
+		"routes":   func(v *jsontree.Node) { d.routes = c.routes(v) },
 		"services": func(v *jsontree.Node) {
 			c.members(v, func(name string, value *jsontree.Node) {
 				c.name(value, "service", name, "/:")
--- a/core/settings/keys.go
+++ b/core/settings/keys.go
@@ -152,6 +152,26 @@
 			return *v.Idempotent
 		},
 	},
+	{
+		"target_ms", "ms", "Time within which an answer is of full use; 0 if unset: the timeout.", LevelRank,
+		duration(0, maxDuration, func(v *Values) *time.Duration { return &v.Target }),
+		func(v *Values) any { return v.Target.Milliseconds() },
+	},
+	{
+		"once_per", `"key" or "attempt"`, "What a non-idempotent request runs at most once for: its idempotency key, or the one attempt that a caller makes.", LevelRank,
+		func(c *checker, n *jsontree.Node) func(*Values) {
+			s, ok := c.text(n)
+			if !ok {
+				return nil
+			}
+			if s != string(OncePerKey) && s != string(OncePerAttempt) {
+				c.add(n, "%q is neither \"key\" nor \"attempt\"", s)
+				return nil
+			}
+			return func(v *Values) { v.OncePer = OncePer(s) }
+		},
+		func(v *Values) any { return string(v.OncePer) },
+	},
 	{
 		"slots", "requests", "Most concurrent requests at one upstream instance.", LevelService,
 		integer(1, 100000, func(v *Values) *int { return &v.Slots }),
--- a/core/settings/resolve.go
+++ b/core/settings/resolve.go
@@ -17,6 +17,7 @@
 			c.compileRanks(d, p)
 		}
 	}
+	c.compileRoutes(d)
 }
 
 // derive sets the values of a scope from those of the level above it.
--- a/core/settings/values.go
+++ b/core/settings/values.go
@@ -23,6 +23,19 @@
 	CrossRegionSpill CrossRegion = "spill"
 )
 
+// OncePer says what a non-idempotent request runs at most once for.
+type OncePer string
+
+// Values of OncePer.
+const (
+	// OncePerKey means that resends of one idempotency key, through whichever
+	// daemon, run once.
+	OncePerKey OncePer = "key"
+	// OncePerAttempt means that each request of a caller runs once, and a
+	// resend is another request.
+	OncePerAttempt OncePer = "attempt"
+)
+
 // Level names the level of the tree that a value comes from.
 type Level string
 
@@ -72,6 +85,11 @@
 	// Idempotent says whether the call may run more than once. When it is not
 	// set, the method decides as in RFC 9110.
 	Idempotent *bool
+	// Target is the time within which an answer is of full use; 0 if only the
+	// timeout counts.
+	Target time.Duration
+	// OncePer says what a non-idempotent request runs at most once for.
+	OncePer OncePer
 	// Slots bounds concurrent requests at one upstream instance.
 	Slots int
 	// Connections bounds open connections to one upstream instance.
@@ -113,6 +131,7 @@
 		Timeout:     2 * time.Second,
 		Attempts:    3,
 		RetryRatio:  0.1,
+		OncePer:     OncePerKey,
 		Slots:       50,
 		Connections: 400,
 		Queue:       50 * time.Millisecond,
--- a/lab/bench/system.go
+++ b/lab/bench/system.go
@@ -40,7 +40,7 @@
 
 // programs are the packages that the measurement runs.
 var programs = []string{
-	"fuchsiavane.org/node/cmd/fuchsiavaned",
+	"fuchsiavane.org/cmd/fuchsiavaned",
 	"fuchsiavane.org/lab/cmd/platform",
 	"fuchsiavane.org/lab/cmd/upstream",
 }
--- a/lab/scenario/scenario_test.go
+++ b/lab/scenario/scenario_test.go
@@ -15,8 +15,8 @@
 
 // programs are the packages that scenarios run.
 var programs = []string{
-	"fuchsiavane.org/node/cmd/fuchsiavaned",
-	"fuchsiavane.org/node/cmd/fuchsiavane",
+	"fuchsiavane.org/cmd/fuchsiavaned",
+	"fuchsiavane.org/cmd/fuchsiavane",
 	"fuchsiavane.org/lab/cmd/platform",
 	"fuchsiavane.org/lab/cmd/upstream",
 }
--- a/node/call/call.go
+++ b/node/call/call.go
@@ -64,6 +64,13 @@
 	// RefusedNotOwner is said of a non-idempotent request by an instance that
 	// does not own its key. The instance did not run it.
 	RefusedNotOwner Refusal = "not-owner"
+	// RefusedShed is said when the upstream itself refused: it did not run the
+	// request, though it was sent one.
+	RefusedShed Refusal = "upstream-shed"
+	// RefusedNoRoute is said of a host and path that the settings don't name.
+	RefusedNoRoute Refusal = "no-route"
+	// RefusedNoSettings is said while no settings are in force.
+	RefusedNoSettings Refusal = "no-settings"
 )
 
 // Request is one call to a service.
@@ -74,7 +81,9 @@
 	Run string
 	// Service is the service asked for.
 	Service string
-	Method  string
+	// Host is the host that the caller asked for; empty for the service's name.
+	Host   string
+	Method string
 	// Target is the request URI: path and query.
 	Target string
 	// Path is the path alone, by which settings are resolved.
@@ -92,7 +101,11 @@
 	// Nested requests are made by a run, so that refusing one wastes the work
 	// done for it.
 	Nested bool
-	// Key is the idempotency key; never empty for a non-idempotent request.
+	// Objective is when the answer stops being of full use; zero if only the
+	// deadline counts. In the clock of the daemon that holds the request.
+	Objective time.Time
+	// Key is the idempotency key; empty for a request of which each attempt runs
+	// at most once, which only its entry daemon sends.
 	Key string
 	// KeyMade is set at the entry daemon if it made the key itself, so that no
 	// request with this key came before. It doesn't cross links.
@@ -164,6 +177,8 @@
 		return http.StatusRequestEntityTooLarge
 	case RefusedUnreachable:
 		return http.StatusBadGateway
+	case RefusedNoRoute:
+		return http.StatusNotFound
 	}
 	return http.StatusServiceUnavailable
 }
--- a/node/daemon/daemon.go
+++ b/node/daemon/daemon.go
@@ -20,6 +20,7 @@
 	"fuchsiavane.org/node/link"
 	"fuchsiavane.org/node/metrics"
 	"fuchsiavane.org/node/once"
+	"fuchsiavane.org/node/presence"
 	"fuchsiavane.org/node/runs"
 	"fuchsiavane.org/node/settingsync"
 	"fuchsiavane.org/node/suspect"
@@ -29,6 +30,18 @@
 // Version is the version of the program.
 const Version = "0.1.0"
 
+// options returns the options of the upstream's runner.
+func (s *Surroundings) options() []upstream.Option {
+	var options []upstream.Option
+	if s.Upstream != nil {
+		options = append(options, upstream.WithDialect(s.Upstream))
+	}
+	if s.Presence != nil {
+		options = append(options, upstream.WithPresence(s.Presence))
+	}
+	return options
+}
+
 // Daemon is one fuchsiavaned.
 type Daemon struct {
 	config   config.Config
@@ -48,13 +61,36 @@
 	metrics  *metrics.Metrics
 	ports    *ports
 
+	around    Surroundings
 	life      *life
 	drainOnce sync.Once
 	draining  chan struct{} // closed when a planned stop begins
 }
 
+// Surroundings is what a daemon finds where it runs, besides its settings. The
+// zero value is the product's own interface.
+type Surroundings struct {
+	// Presence follows the upstream's own announcements; nil if it makes none.
+	Presence *presence.Presence
+	// Callers is the convention of headers at the caller port, which then takes
+	// calls by host and path, the upstream's own calls among them; nil for the
+	// product's.
+	Callers gateway.Dialect
+	// Upstream is the convention of headers towards the upstream; nil for the
+	// product's.
+	Upstream upstream.Dialect
+	// Notice is the first part of a planned stop, in which callers and peers
+	// learn of it and requests are still taken; 0 for the usual time.
+	Notice time.Duration
+}
+
 // New puts a daemon together. It opens no port.
 func New(c config.Config, store kv.Store, log *event.Logger) (*Daemon, error) {
+	return NewIn(Surroundings{}, c, store, log)
+}
+
+// NewIn is New for a daemon in other surroundings.
+func NewIn(s Surroundings, c config.Config, store kv.Store, log *event.Logger) (*Daemon, error) {
 	base, err := url.Parse(c.Upstream)
 	if err != nil {
 		return nil, errors.Wrap(err, "upstream")
@@ -68,19 +104,24 @@
 		metrics:  metrics.New(),
 		life:     newLife(),
 		draining: make(chan struct{}),
+		around:   s,
+	}
+	if d.around.Notice == 0 {
+		d.around.Notice = noticeTime
 	}
 	identity := link.Identity{Instance: c.InstanceID, Key: []byte(c.LinkKey)}
 	table := runs.NewTable()
 	d.shared = newShared(c, store, d.settings, d.picker, d.metrics, log)
 	d.gate = upstream.NewGate(c.Service, d.settings)
-	d.runner = upstream.NewRunner(base, d.gate, table)
+	d.runner = upstream.NewRunner(base, d.gate, table, s.options()...)
 	d.pool = link.NewPool(identity, link.DefaultTiming(), log)
 	d.guardOwn(store, base)
 	d.listener = link.NewListener(identity, link.DefaultTiming(), d.own, log)
 	d.gateway = gateway.New(gateway.Config{
 		Instance: c.InstanceID, Place: route.Place{Region: c.Region, DataCentre: c.DataCentre},
 		Settings: d.settings, Picker: d.picker, Far: d.far, Transport: d.pool,
-		Own: d.own, Runs: table, Suspects: d.guard.Ledger(), Observer: d.metrics, Log: log,
+		Dialect: s.Callers,
+		Own:     d.own, Runs: table, Suspects: d.guard.Ledger(), Observer: d.metrics, Log: log,
 	})
 	d.metrics.Gauge("fuchsiavane_running", func() float64 { running, _ := d.gate.Load(); return float64(running) })
 	d.linkMetrics()
@@ -112,7 +153,12 @@
 	var group sync.WaitGroup
 	d.shared.start()
 	group.Go(func() { d.shareLink(duties) })
-	group.Go(func() { d.keeper.Run(duties) })
+	if d.around.Callers == nil {
+		group.Go(func() { d.keeper.Run(duties) })
+	}
+	if d.around.Presence != nil {
+		group.Go(func() { d.followUpstream(duties) })
+	}
 	stopGate := d.runGate()
 	failed := d.ports.serve()
 	d.log.Log(event.DaemonStarted).Str("service", d.config.Service).Str("peer_listen", d.config.PeerListen).Msg("daemon started")
@@ -151,6 +197,9 @@
 
 // Ready implements admin.Daemon.
 func (d *Daemon) Ready() bool {
+	if d.around.Callers != nil && d.settings.Current().Revision == 0 {
+		return false
+	}
 	return d.life.String() == admin.StateServing && !d.shared.members.View().Superseded
 }
 
--- a/node/daemon/drain.go
+++ b/node/daemon/drain.go
@@ -29,7 +29,9 @@
 	defer cancel()
 	stopDuties()
 	duties.Wait()
-	d.releaseClaims(ctx)
+	if d.around.Callers == nil {
+		d.releaseClaims(ctx)
+	}
 	d.giveNotice(ctx)
 	d.runner.Leave()
 	d.ports.drainCallers(ctx)
@@ -47,7 +49,7 @@
 // the callers.
 func (d *Daemon) giveNotice(ctx context.Context) {
 	d.ports.closeAfterAnswer()
-	ctx, cancel := context.WithTimeout(ctx, noticeTime)
+	ctx, cancel := context.WithTimeout(ctx, d.around.Notice)
 	defer cancel()
 	d.shared.members.Leave(ctx)
 	<-ctx.Done()
--- a/node/daemon/ports.go
+++ b/node/daemon/ports.go
@@ -55,11 +55,14 @@
 		addr    string
 		handler http.Handler
 	}{
-		{&p.caller, "caller", d.config.CallerListen, p.closing(d.gateway.CallerPort())},
+		{&p.caller, "caller", d.config.CallerListen, p.closing(d.callers())},
 		{&p.local, "local", d.config.LocalListen, d.gateway.LocalPort()},
 		{&p.peer, "peer", d.config.PeerListen, peer},
 		{&p.admin, "admin", d.config.AdminListen, admin.Handler(d)},
 	} {
+		if want.addr == "" {
+			continue
+		}
 		opened, err := open(want.name, want.addr, want.handler)
 		if err != nil {
 			p.close()
@@ -70,6 +73,14 @@
 	return p, nil
 }
 
+// callers returns the handler of the caller port.
+func (d *Daemon) callers() http.Handler {
+	if d.around.Callers != nil {
+		return d.gateway.RoutedPort()
+	}
+	return d.gateway.CallerPort()
+}
+
 func open(name, addr string, handler http.Handler) (*port, error) {
 	tcp, err := net.Listen("tcp", addr)
 	if err != nil {
@@ -122,7 +133,9 @@
 
 // drainLocal does the same for the local port.
 func (p *ports) drainLocal(ctx context.Context) {
-	_ = p.local.server.Shutdown(ctx)
+	if p.local != nil {
+		_ = p.local.server.Shutdown(ctx)
+	}
 }
 
 // closing adds Connection: close to every answer while the daemon leaves.
--- a/node/event/catalogue.go
+++ b/node/event/catalogue.go
@@ -31,6 +31,14 @@
 	CentreReachable    = Event{406, "data-centre-reachable", plog.InfoLevel, "A data centre answers again."}
 	MemberRefused      = Event{407, "member-refused", plog.WarnLevel, "A membership message did not prove the link key, or came from outside loopback without one. Give all daemons the same -link-key. At most one line a minute."}
 	BadCallerInput     = Event{501, "request-malformed", plog.InfoLevel, "A caller's request was malformed and refused."}
+	RequestAnswered    = Event{502, "request-answered", plog.InfoLevel, "An upstream's answer to a routed request began."}
+	RequestFailed      = Event{503, "request-failed", plog.WarnLevel, "A routed request ended with an answer of the system's own. refusal, outcome and detail give the cause; settings is the revision it was decided by."}
+	RequestRetried     = Event{504, "request-retried", plog.InfoLevel, "A routed request went to another peer. price says what it cost: free if no upstream had been sent it, else a retry of the budget."}
+	RequestHeld        = Event{505, "request-held", plog.InfoLevel, "A request found no slot at the upstream at once: it waited, or was refused here. The fields give the load that decided."}
+	UpstreamNews       = Event{512, "upstream-news", plog.InfoLevel, "What the upstream beside this daemon said of itself changed: its instance, phase or slots."}
+	UpstreamNewsOld    = Event{513, "upstream-news-refused", plog.WarnLevel, "A heartbeat was malformed, older than what is known, or of another instance; it changed nothing."}
+	ProcessSettings    = Event{106, "process-settings-changed", plog.InfoLevel, "The file of process settings changed. The fields name what changed; it holds from the next start unless the line says otherwise."}
+	LogLinesLost       = Event{107, "log-lines-lost", plog.WarnLevel, "Log lines were written faster than they could be taken. count gives those that were dropped since the last such line; refusals and failures are dropped last."}
 	UpstreamCrashed    = Event{510, "upstream-crashed", plog.WarnLevel, "The upstream died with requests in flight. Each of them runs alone from now on, until it has ended well."}
 	RequestQuarantined = Event{511, "request-quarantined", plog.ErrorLevel, "A request has crashed two upstreams and is refused with 422 for an hour. Find it by its fingerprint and mend the upstream."}
 	PlatformAway       = Event{601, "platform-away", plog.WarnLevel, "The platform's store does not answer. The daemon goes on with what it holds."}
@@ -46,6 +54,7 @@
 		SettingsInForce, SettingsRefused, SettingsOlder,
 		LinkOpened, LinkClosed, LinkRefused, LinkMalformed, LinkNotOpened, LinkRecovered,
 		PeersChanged, MemberDead, MemberResumed, MemberSuperseded, CentreUnreachable, CentreReachable, MemberRefused,
+		RequestAnswered, RequestFailed, RequestRetried, RequestHeld, UpstreamNews, UpstreamNewsOld, ProcessSettings, LogLinesLost,
 		BadCallerInput, PlatformAway, PlatformBack,
 		ClaimsNotRefreshed, ClaimsNotReleased, UpstreamCrashed, RequestQuarantined,
 	}
--- a/node/event/event.go
+++ b/node/event/event.go
@@ -27,11 +27,27 @@
 func New(w io.Writer, level plog.Level, instance string) *Logger {
 	return &Logger{plog.Logger{
 		Level:   level,
-		Writer:  &plog.IOWriter{Writer: w},
+		Writer:  levelWriter{w},
 		Context: plog.NewContext(nil).Str("instance", instance).Value(),
 	}}
 }
 
+// importantWriter takes lines that are dropped last.
+type importantWriter interface {
+	WriteImportant(line []byte) (int, error)
+}
+
+// levelWriter hands lines on by their level.
+type levelWriter struct{ to io.Writer }
+
+// WriteEntry implements plog.Writer.
+func (w levelWriter) WriteEntry(e *plog.Entry) (int, error) {
+	if to, ok := w.to.(importantWriter); ok && e.Level >= plog.WarnLevel {
+		return to.WriteImportant(e.Value())
+	}
+	return w.to.Write(e.Value())
+}
+
 // Discard returns a Logger that writes nothing.
 func Discard() *Logger { return New(io.Discard, plog.PanicLevel, "") }
 
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -48,6 +48,9 @@
 	Suspects *suspect.Ledger
 	Observer Observer
 	Log      *event.Logger
+	// Dialect is the convention of headers at the routed port; nil if there is
+	// none.
+	Dialect Dialect
 }
 
 // Gateway makes calls. It is safe for concurrent use.
@@ -77,7 +80,7 @@
 	if refusal := g.suspicion(r); refusal != nil {
 		return refusal
 	}
-	if !r.Idempotent {
+	if !r.Idempotent && values.OncePer == settings.OncePerKey {
 		return g.callOwner(ctx, r, values, budget)
 	}
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
@@ -127,7 +130,9 @@
 	began := time.Now()
 	attempt := *r
 	attempt.Run = uuid.NewString()
-	attempt.Retries = budget.Lend()
+	if r.Host == "" {
+		attempt.Retries = budget.Lend()
+	}
 	far := peer.Region != g.Place.Region
 	if far {
 		g.Far.charge(&attempt)
--- a/node/gateway/http.go
+++ b/node/gateway/http.go
@@ -73,11 +73,16 @@
 // writeAnswer passes an upstream's answer on. A cut answer breaks the
 // connection, so that it never looks complete.
 func writeAnswer(w http.ResponseWriter, answer *call.Answer) {
+	answer.Header.Set(call.HeaderOutcome, string(answer.Outcome))
+	writeBody(w, answer)
+}
+
+// writeBody passes the status and body of an upstream's answer on.
+func writeBody(w http.ResponseWriter, answer *call.Answer) {
 	header := w.Header()
 	for name, values := range answer.Header {
 		header[name] = values
 	}
-	header.Set(call.HeaderOutcome, string(answer.Outcome))
 	if answer.Length >= 0 && header.Get("Content-Length") == "" {
 		header.Set("Content-Length", strconv.FormatInt(answer.Length, 10))
 	}
--- a/node/gateway/retries.go
+++ b/node/gateway/retries.go
@@ -9,6 +9,7 @@
 	"fuchsiavane.org/core/settings"
 	coresuspect "fuchsiavane.org/core/suspect"
 	"fuchsiavane.org/node/call"
+	"fuchsiavane.org/node/event"
 	"fuchsiavane.org/node/suspect"
 )
 
@@ -21,13 +22,56 @@
 	if answer.Outcome != call.NotRun && !r.Idempotent || refusedByLevel(r, answer) {
 		return false
 	}
+	if redirects(r, answer, len(tried)+1) {
+		g.logRetry(r, answer, peer, "free")
+		return time.Now().Before(r.Deadline)
+	}
+	switch answer.Refusal {
+	case call.RefusedOverload, call.RefusedDraining, call.RefusedUnreachable, call.RefusedShed:
+		if !g.payRetry(r, values, budget) {
+			return false
+		}
+		g.logRetry(r, answer, peer, "budget")
+		return backOff(ctx, r.Deadline, len(tried)+1)
+	}
+	return false
+}
+
+const (
+	// maxRedirects bounds the peers asked in turn when none of them gave the
+	// request to its upstream.
+	maxRedirects = 4
+	// maxOverloaded is the same where peers refuse because they are overloaded:
+	// under a flood each further question costs all of them.
+	maxOverloaded = 2
+)
+
+// redirects reports whether a routed request goes to another peer at no price:
+// the asked one has not given it to its upstream, so no upstream has the load of
+// a retry.
+func redirects(r *call.Request, answer *call.Answer, asked int) bool {
+	if r.Host == "" || answer.Outcome != call.NotRun {
+		return false
+	}
 	switch answer.Refusal {
-	case call.RefusedOverload, call.RefusedDraining, call.RefusedUnreachable:
-		return g.payRetry(r, values, budget) && backOff(ctx, r.Deadline, len(tried)+1)
+	case call.RefusedDraining, call.RefusedUnreachable:
+		return asked < maxRedirects
+	case call.RefusedOverload:
+		return asked < maxOverloaded
 	}
 	return false
 }
 
+// logRetry writes the line of a request that is sent once more.
+func (g *Gateway) logRetry(r *call.Request, answer *call.Answer, peer, price string) {
+	if r.Host == "" {
+		return
+	}
+	g.Log.Log(event.RequestRetried).Str("request", r.ID).Str("service", r.Service).Str("peer", peer).
+		Str("refusal", string(answer.Refusal)).Str("outcome", string(answer.Outcome)).Str("detail", answer.Detail).
+		Str("price", price).Int64("left_ms", time.Until(r.Deadline).Milliseconds()).Msg("request sent to another peer")
+}
+
 // settleOutcome corrects the outcome of a call of which an earlier attempt may
 // have run.
 func settleOutcome(answer *call.Answer, earlier bool) {
--- /dev/null
+++ b/node/gateway/routed.go
@@ -0,0 +1,137 @@
+package gateway
+
+import (
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"fuchsiavane.org/core/level"
+	"fuchsiavane.org/core/retry"
+	"fuchsiavane.org/core/settings"
+	"fuchsiavane.org/node/call"
+	"fuchsiavane.org/node/event"
+)
+
+// Dialect is the convention of headers at the routed port, at which callers
+// address routes of the settings by host and path.
+type Dialect interface {
+	// Head reads the header of a request.
+	Head(r *http.Request) (Head, error)
+	// WriteRefusal writes an answer that the system makes itself.
+	WriteRefusal(w http.ResponseWriter, a *call.Answer)
+}
+
+// Head is what the header of a request says.
+type Head struct {
+	// ID names the request.
+	ID string
+	// Timeout is how long the caller waits; 0 if it does not say.
+	Timeout time.Duration
+	// Caller is the name that the request's origin has for the upstream.
+	Caller string
+}
+
+// RoutedPort returns the handler of a port at which callers, and the own
+// upstream, address routes by host and path.
+func (g *Gateway) RoutedPort() http.Handler {
+	return http.HandlerFunc(g.handleRouted)
+}
+
+func (g *Gateway) handleRouted(w http.ResponseWriter, r *http.Request) {
+	began := time.Now()
+	p, refusal := g.prepareRouted(r, began)
+	if refusal != nil {
+		g.Log.Log(event.BadCallerInput).Str("request", r.Header.Get("X-Request-Id")).Str("host", r.Host).Str("path", r.URL.Path).
+			Str("refusal", string(refusal.Refusal)).Str("detail", refusal.Detail).Uint64("settings", g.Settings.Current().Revision).Msg("request refused")
+		g.Dialect.WriteRefusal(w, refusal)
+		return
+	}
+	answer := g.callAdmitted(p)
+	defer answer.Body.Close()
+	took := time.Since(began)
+	g.Observer.Called(p.request.Service, p.request.Caller, p.request.Rank, answer.Outcome, answer.Refusal, took)
+	g.logEnd(p.request, answer, took)
+	if answer.Refusal != call.RefusedNone {
+		g.Dialect.WriteRefusal(w, answer)
+		return
+	}
+	writeBody(w, answer)
+}
+
+// prepareRouted finds the route of a request and the service that it goes to.
+func (g *Gateway) prepareRouted(r *http.Request, now time.Time) (*prepared, *call.Answer) {
+	inForce := g.Settings.Current()
+	if inForce.Revision == 0 {
+		return nil, call.Refuse(call.NotRun, call.RefusedNoSettings, "no settings are in force yet")
+	}
+	head, err := g.Dialect.Head(r)
+	if err != nil {
+		return nil, badRequest(err)
+	}
+	if err := checkSize(r); err != nil {
+		return nil, badRequest(err)
+	}
+	if r.Method == http.MethodConnect || r.Header.Get("Upgrade") != "" {
+		return nil, badRequest(errors.New("CONNECT and protocol upgrades are not carried"))
+	}
+	route := inForce.Document.Route(r.Host, r.URL.EscapedPath())
+	if route == nil {
+		return nil, call.Refuse(call.NotRun, call.RefusedNoRoute, "no route matches the host and path")
+	}
+	body, err := readBody(r)
+	if err != nil {
+		return nil, badRequest(err)
+	}
+	target := route.Choose(rand.Float64())
+	values := target.Values()
+	request := &call.Request{
+		ID: head.ID, Service: target.Service, Host: r.Host, Method: r.Method,
+		Target: r.RequestURI, Path: route.Prefix, Header: forwardHeader(r.Header), Body: body,
+		Caller: head.Caller, Rank: values.Rank, Idempotent: values.IsIdempotent(r.Method),
+		Deadline: now.Add(allowed(head.Timeout, values.Timeout)), Objective: objective(now, &values),
+	}
+	return &prepared{ctx: r.Context(), request: request, values: values, budget: retry.NewBudget(values.Attempts - 1)}, nil
+}
+
+// allowed returns the lesser of the caller's wait, if it gave one, and the
+// route's timeout.
+func allowed(wait, timeout time.Duration) time.Duration {
+	if wait > 0 {
+		return min(wait, timeout)
+	}
+	return timeout
+}
+
+// objective returns when the answer stops being of full use, zero if that is
+// not before the timeout.
+func objective(now time.Time, v *settings.Values) time.Time {
+	if v.Target <= 0 || v.Target >= v.Timeout {
+		return time.Time{}
+	}
+	return now.Add(v.Target)
+}
+
+// passOf returns the part of requests that the level of an answer lets through.
+func passOf(a *call.Answer) float64 { return level.Pass(a.Level) }
+
+// logEnd writes the line of a request that has ended, or whose answer begins.
+func (g *Gateway) logEnd(r *call.Request, a *call.Answer, took time.Duration) {
+	kind := event.RequestAnswered
+	if a.Refusal != call.RefusedNone {
+		kind = event.RequestFailed
+	}
+	line := g.Log.Log(kind)
+	if line == nil {
+		return
+	}
+	line.Str("request", r.ID).Str("service", r.Service).Str("path", r.Path).Str("rank", r.Rank).
+		Int("status", a.Status).Str("outcome", string(a.Outcome)).Int64("took_ms", took.Milliseconds()).
+		Int64("left_ms", time.Until(r.Deadline).Milliseconds()).Uint64("settings", g.Settings.Current().Revision)
+	if a.Refusal != call.RefusedNone {
+		line.Str("refusal", string(a.Refusal)).Str("detail", a.Detail).Int64("retry_after_ms", a.RetryAfter.Milliseconds()).
+			Float64("level_pass", passOf(a))
+	}
+	line.Msg(kind.Name)
+}
--- a/node/link/server.go
+++ b/node/link/server.go
@@ -117,7 +117,12 @@
 	if header == nil {
 		header = http.Header{}
 	}
+	var objective time.Time
+	if w.ObjectiveLeft != 0 {
+		objective = now.Add(time.Duration(w.ObjectiveLeft) * time.Microsecond)
+	}
 	return &call.Request{
+		Host: w.Host, Objective: objective,
 		ID: w.ID, Run: w.Run, Service: w.Service, Method: w.Method, Target: w.Target, Path: w.Path,
 		Header: header, Caller: w.Caller, Rank: w.Rank, Retries: w.Retries,
 		Deadline:   now.Add(time.Duration(w.TimeLeft) * time.Microsecond),
--- a/node/membership/membership.go
+++ b/node/membership/membership.go
@@ -197,6 +197,12 @@
 // Leave tells the peers that this instance takes no new work.
 func (d *Duty) Leave(ctx context.Context) { d.do(ctx, (*member.Member).Leave) }
 
+// Rest tells the peers that this instance takes no work for now, or takes work
+// again.
+func (d *Duty) Rest(ctx context.Context, resting bool) {
+	d.do(ctx, func(m *member.Member, now time.Duration) []member.Outgoing { return m.Rest(now, resting) })
+}
+
 // Gone tells the peers that this instance ends.
 func (d *Duty) Gone(ctx context.Context) { d.do(ctx, (*member.Member).Gone) }
 
--- /dev/null
+++ b/node/presence/presence.go
@@ -0,0 +1,191 @@
+// Package presence knows which upstream stands beside the daemon: what it last
+// said of itself, and whether it takes work.
+//
+// An upstream announces itself with heartbeats. Each start of it is an
+// incarnation with a birth time; news of an older incarnation, or older news of
+// the same one, changes nothing. The package is a state machine whose time comes
+// in as an argument; it is safe for concurrent use.
+package presence
+
+import (
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Phase is what an upstream says it does with new work.
+type Phase string
+
+// Phases.
+const (
+	// PhaseAbsent means that no upstream is known.
+	PhaseAbsent Phase = "absent"
+	// PhaseReady upstreams take work.
+	PhaseReady Phase = "ready"
+	// PhaseDraining upstreams finish what they have and take nothing new.
+	PhaseDraining Phase = "draining"
+)
+
+// lapseBeats is the number of heartbeat intervals without a heartbeat after
+// which an upstream counts as absent. A heartbeat may come seconds late, and a
+// crash shows sooner at its connections.
+const lapseBeats = 6
+
+// Beat is one heartbeat of an upstream.
+type Beat struct {
+	// Instance names the incarnation; requests name it back to the upstream.
+	Instance string
+	// Born is the start of the incarnation, Unix milliseconds by the upstream's
+	// clock; it only orders incarnations.
+	Born int64
+	// Sequence orders the heartbeats of one incarnation.
+	Sequence uint64
+	Phase    Phase
+	// Slots is the number of requests that the upstream runs at a time.
+	Slots int
+	// Cold is how much longer the upstream stays slow after its start.
+	Cold time.Duration
+	// Version is the version of the upstream's software, for the log.
+	Version string
+}
+
+// State is what is known of the upstream.
+type State struct {
+	Beat
+	// At is when the last heartbeat came.
+	At time.Time
+	// ColdUntil is when the upstream is expected to reach its full speed.
+	ColdUntil time.Time
+}
+
+// Errors of Beat and Leave.
+var (
+	// ErrStale means that newer news of the upstream is known.
+	ErrStale = errors.New("the heartbeat is older than what is known")
+	// ErrOther means that the instance is not the upstream beside this daemon.
+	ErrOther = errors.New("the instance is not the one beside this daemon")
+)
+
+// Presence follows the upstream. The zero value is not usable; use New.
+type Presence struct {
+	interval time.Duration
+
+	mu    sync.Mutex
+	state State
+	// left names the incarnations that have said that they leave, by instance;
+	// the value is their birth.
+	left    map[string]int64
+	changed chan struct{}
+}
+
+// New returns a Presence that knows no upstream. interval is the pause between
+// an upstream's heartbeats.
+func New(interval time.Duration) *Presence {
+	return &Presence{
+		interval: interval,
+		state:    State{Beat: Beat{Phase: PhaseAbsent}},
+		left:     map[string]int64{},
+		changed:  make(chan struct{}, 1),
+	}
+}
+
+// Fixed returns a Presence of an upstream that sends no heartbeats.
+func Fixed() *Presence {
+	p := New(0)
+	p.state.Phase = PhaseReady
+	return p
+}
+
+// Beat takes a heartbeat in. It returns ErrStale if newer news is known.
+func (p *Presence) Beat(now time.Time, b Beat) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.older(b) {
+		return ErrStale
+	}
+	if b.Phase == PhaseDraining {
+		p.remember(b.Instance, b.Born)
+	}
+	changed := b.Instance != p.state.Instance || b.Phase != p.state.Phase || b.Slots != p.state.Slots || b.Born != p.state.Born
+	p.state = State{Beat: b, At: now, ColdUntil: now.Add(b.Cold)}
+	if changed {
+		p.announce()
+	}
+	return nil
+}
+
+// older reports whether a heartbeat is older news than what is known. The
+// caller holds the lock.
+func (p *Presence) older(b Beat) bool {
+	if born, gone := p.left[b.Instance]; gone && b.Phase != PhaseDraining && b.Born <= born {
+		return true
+	}
+	known := &p.state.Beat
+	if known.Instance == "" {
+		return false
+	}
+	if b.Born != known.Born {
+		return b.Born < known.Born
+	}
+	return b.Instance == known.Instance && b.Sequence <= known.Sequence
+}
+
+// maxLeft bounds the incarnations that are remembered as gone.
+const maxLeft = 64
+
+// remember notes an incarnation that leaves. The caller holds the lock.
+func (p *Presence) remember(instance string, born int64) {
+	if len(p.left) >= maxLeft {
+		clear(p.left)
+	}
+	p.left[instance] = born
+}
+
+// Leave takes in that an instance ends. It returns ErrOther if that is not the
+// upstream beside this daemon.
+func (p *Presence) Leave(instance string) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.state.Instance != instance {
+		p.remember(instance, p.state.Born)
+		return ErrOther
+	}
+	p.remember(instance, p.state.Born)
+	p.state.Phase = PhaseAbsent
+	p.announce()
+	return nil
+}
+
+// Misdirected takes in that another upstream answered at the address: the known
+// one is gone until it sends another heartbeat.
+func (p *Presence) Misdirected(instance string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.state.Instance != instance || p.state.Phase == PhaseAbsent {
+		return
+	}
+	p.state.Phase = PhaseAbsent
+	p.announce()
+}
+
+// Now returns what is known of the upstream.
+func (p *Presence) Now(now time.Time) State {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	state := p.state
+	if p.interval > 0 && state.Phase != PhaseAbsent && now.Sub(state.At) > lapseBeats*p.interval {
+		state.Phase = PhaseAbsent
+	}
+	return state
+}
+
+// Changed gets a value when the upstream or its phase changed.
+func (p *Presence) Changed() <-chan struct{} { return p.changed }
+
+func (p *Presence) announce() {
+	select {
+	case p.changed <- struct{}{}:
+	default: // one is waiting already
+	}
+}
--- a/node/problem/problem.go
+++ b/node/problem/problem.go
@@ -43,6 +43,9 @@
 	call.RefusedHeaderSize:  "The request's header is too large",
 	call.RefusedCancelled:   "The caller gave the request up",
 	call.RefusedNotOwner:    "No instance owns the key now",
+	call.RefusedShed:        "The upstream refused the request",
+	call.RefusedNoRoute:     "No route matches the host and path",
+	call.RefusedNoSettings:  "No settings are in force yet",
 }
 
 // Write answers a refused request.
--- a/node/upstream/gate.go
+++ b/node/upstream/gate.go
@@ -27,6 +27,7 @@
 	mu         sync.Mutex
 	controller *admission.Controller
 	revision   uint64
+	slots      int // as the upstream announced them, 0 if it did not
 	configured time.Time
 	waiting    map[admission.Ticket]chan admission.Reason
 	// queued holds a token when a request began to wait since the last look.
@@ -145,6 +146,19 @@
 	return a
 }
 
+// Announce takes the slots that the upstream says it has, and how much longer it
+// stays slow after its start.
+func (g *Gate) Announce(slots int) {
+	now := time.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if slots == g.slots {
+		return
+	}
+	g.slots = slots
+	g.deliver(g.controller.Configure(now, g.config(now)))
+}
+
 // Level returns the admission level of a rank at this upstream.
 func (g *Gate) Level(rank string) level.Level {
 	index := g.settings.Current().Document.RankIndex(rank)
@@ -255,6 +269,9 @@
 	document := inForce.Document
 	v := document.ServiceValues(g.service)
 	shares := document.SharesAt(g.service, now)
+	if g.slots > 0 {
+		v.Slots = g.slots
+	}
 	config := admission.Config{Slots: v.Slots, Connections: v.Connections, Queue: v.Queue, SlowStart: v.SlowStart}
 	for i, rank := range document.Ranks() {
 		config.Ranks = append(config.Ranks, admission.Rank{Share: shares[i], Protected: rank.Protected})
--- a/node/upstream/upstream.go
+++ b/node/upstream/upstream.go
@@ -11,14 +11,15 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
+	"strings"
 	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
 
-	"fuchsiavane.org/core/callctx"
 	"fuchsiavane.org/core/retry"
 	"fuchsiavane.org/node/call"
+	"fuchsiavane.org/node/presence"
 	"fuchsiavane.org/node/runs"
 )
 
@@ -29,28 +30,57 @@
 // request that meets a closing connection has an unknown outcome.
 const idleTimeout = 4 * time.Second
 
+// singleIdleTimeout is the same for requests that must not run twice, of which a
+// lost connection is a lost request. Upstreams whose connections close sooner
+// than announced have not been seen to do it within a second.
+const singleIdleTimeout = 500 * time.Millisecond
+
 // Runner runs requests at the upstream. It is safe for concurrent use.
 type Runner struct {
-	base      *url.URL
-	transport *http.Transport
-	gate      *Gate
-	table     *runs.Table
-	leaving   atomic.Bool
+	base     *url.URL
+	gate     *Gate
+	table    *runs.Table
+	dialect  Dialect
+	presence *presence.Presence
+	leaving  atomic.Bool
+	// repeatable carries idempotent requests, and single the others: on a
+	// connection that the upstream may just have closed, those would be lost.
+	repeatable, single *http.Transport
 }
 
 var _ call.Server = (*Runner)(nil)
 
+// Option changes a Runner from its defaults.
+type Option func(*Runner)
+
+// WithDialect makes a Runner speak to the upstream by another convention of
+// headers than the product's own.
+func WithDialect(d Dialect) Option { return func(u *Runner) { u.dialect = d } }
+
+// WithPresence makes a Runner follow what the upstream says of itself.
+func WithPresence(p *presence.Presence) Option { return func(u *Runner) { u.presence = p } }
+
 // NewRunner returns a Runner for an upstream's base URL.
-func NewRunner(base *url.URL, gate *Gate, table *runs.Table) *Runner {
-	transport := &http.Transport{
+func NewRunner(base *url.URL, gate *Gate, table *runs.Table, options ...Option) *Runner {
+	u := &Runner{
+		base: base, gate: gate, table: table, dialect: ownDialect{}, presence: presence.Fixed(),
+		repeatable: newTransport(idleTimeout), single: newTransport(singleIdleTimeout),
+	}
+	for _, option := range options {
+		option(u)
+	}
+	return u
+}
+
+func newTransport(idle time.Duration) *http.Transport {
+	return &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: connectTimeout}).DialContext,
 		MaxIdleConnsPerHost: 256,
-		IdleConnTimeout:     idleTimeout,
+		IdleConnTimeout:     idle,
 		DisableCompression:  true,
 		// An answer's header is carried whole or not at all.
 		MaxResponseHeaderBytes: call.MaxHeaderBytes,
 	}
-	return &Runner{base: base, transport: transport, gate: gate, table: table}
 }
 
 // Leave makes the Runner refuse new requests; those in progress go on.
@@ -61,16 +91,35 @@
 
 // Serve implements call.Server.
 func (u *Runner) Serve(ctx context.Context, r *call.Request) *call.Answer {
-	if u.leaving.Load() {
-		return u.unspent(r, call.Refuse(call.NotRun, call.RefusedDraining, "the instance takes no new work"))
+	if refusal := u.closed(r); refusal != nil {
+		return refusal
 	}
 	pass, refusal := u.gate.Enter(ctx, r)
 	if refusal != nil {
 		return u.unspent(r, refusal)
 	}
+	// The upstream may have left while the request waited.
+	if refusal := u.closed(r); refusal != nil {
+		pass.Leave(EndAbandoned)
+		return refusal
+	}
 	return u.run(ctx, r, pass)
 }
 
+// closed refuses a request that the upstream takes no work for, or returns nil.
+func (u *Runner) closed(r *call.Request) *call.Answer {
+	if u.leaving.Load() {
+		return u.unspent(r, call.Refuse(call.NotRun, call.RefusedDraining, "the instance takes no new work"))
+	}
+	switch u.presence.Now(time.Now()).Phase {
+	case presence.PhaseDraining:
+		return u.unspent(r, call.Refuse(call.NotRun, call.RefusedDraining, "the upstream is draining"))
+	case presence.PhaseAbsent:
+		return u.unspent(r, call.Refuse(call.NotRun, call.RefusedDraining, "no upstream is known beside this daemon"))
+	}
+	return nil
+}
+
 // unspent marks the whole lent budget as unused.
 func (u *Runner) unspent(r *call.Request, a *call.Answer) *call.Answer {
 	a.Unspent = r.Retries
@@ -93,10 +142,23 @@
 		u.table.End(run.ID)
 		pass.Leave(as)
 	}
-	response, sent, err := u.forward(ctx, r)
+	instance := u.presence.Now(time.Now()).Instance
+	response, conn, err := u.forward(ctx, r, instance)
+	if err == nil {
+		err = u.judge(r, response, conn, instance)
+	}
+	var shed *shedError
+	if errors.As(err, &shed) {
+		end(EndOverloaded)
+		a := call.Refuse(call.NotRun, shed.refusal, shed.detail)
+		a.RetryAfter = shed.retryAfter
+		a.Unspent = run.Budget.Drain()
+		a.Level = u.gate.worst(run)
+		return a
+	}
 	if err != nil {
 		end(endOfError(run, err))
-		a := u.failure(r, run, sent, err)
+		a := u.failure(r, run, conn != nil, err)
 		a.Level = u.gate.worst(run)
 		return a
 	}
@@ -115,18 +177,37 @@
 	return context.WithDeadline(ctx, deadline)
 }
 
-// forward sends the request to the upstream. sent reports whether a byte of it
-// may have been given to the upstream.
-func (u *Runner) forward(ctx context.Context, r *call.Request) (response *http.Response, sent bool, err error) {
-	target, err := u.base.Parse(r.Target)
+// forward sends the request to the upstream. conn is the connection that it went
+// by, nil if no byte of it was given to the upstream.
+func (u *Runner) forward(ctx context.Context, r *call.Request, instance string) (response *http.Response, conn net.Conn, err error) {
+	target, err := u.target(r)
 	if err != nil {
-		return nil, false, errors.Wrap(err, "target")
+		return nil, nil, err
 	}
-	var connected atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	var used atomic.Pointer[net.Conn]
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { used.Store(&info.Conn) }}
 	ctx = httptrace.WithClientTrace(ctx, trace)
-	response, err = u.transport.RoundTrip(newRequest(ctx, r, target))
-	return response, connected.Load(), err
+	request := newRequest(ctx, r, target)
+	u.dialect.Address(request, r, instance, time.Now())
+	transport := u.repeatable
+	if !r.Idempotent {
+		transport = u.single
+	}
+	response, err = transport.RoundTrip(request)
+	if got := used.Load(); got != nil {
+		conn = *got
+	}
+	return response, conn, err
+}
+
+// target returns the URL of a request. A target that begins with one slash goes
+// out byte for byte.
+func (u *Runner) target(r *call.Request) (*url.URL, error) {
+	if r.Host != "" && strings.HasPrefix(r.Target, "/") && !strings.HasPrefix(r.Target, "//") {
+		return &url.URL{Scheme: u.base.Scheme, Host: u.base.Host, Opaque: r.Target}, nil
+	}
+	target, err := u.base.Parse(r.Target)
+	return target, errors.Wrap(err, "target")
 }
 
 // identity keeps the transport from sending an empty body in chunks.
@@ -150,18 +231,15 @@
 		Body:          io.NopCloser(bytes.NewReader(r.Body)),
 		ContentLength: int64(len(r.Body)),
 	}
+	if r.Host != "" {
+		request.Host = r.Host
+	}
 	if len(r.Body) == 0 {
 		request.TransferEncoding = identity
 	}
 	if len(request.Header["User-Agent"]) == 0 {
 		request.Header["User-Agent"] = noUserAgent
 	}
-	request.Header.Set(callctx.Header, callctx.Context{
-		RequestID: r.ID, Run: r.Run, Rank: r.Rank, Caller: r.Caller, Deadline: r.Deadline,
-	}.Encode())
-	if r.Key != "" {
-		request.Header.Set(call.HeaderKey, r.Key)
-	}
 	return request.WithContext(ctx)
 }
 
--- a/node/wire/wire.go
+++ b/node/wire/wire.go
@@ -121,6 +121,9 @@
 	Idempotent bool   `cbor:"12,keyasint,omitempty"`
 	Key        string `cbor:"13,keyasint,omitempty"`
 	Nested     bool   `cbor:"14,keyasint,omitempty"`
+	Host       string `cbor:"15,keyasint,omitempty"`
+	// ObjectiveLeft is in microseconds; 0 for none.
+	ObjectiveLeft int64 `cbor:"16,keyasint,omitempty"`
 }
 
 // Answer is the head of an answer.
