Place by reported wait; refuse roots by the wait for slots

Ruled out: too few upstreams (the registries ran at half of their slots). Change: answers carry the load, and a farther data centre is taken when it saves more waiting than its distance; an announced number of slots is not judged by latency; calls carry root, rank and end of the run that makes them; for such upstreams core/level.Governor sets the levels by the wait, slots go by age.

--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -53,6 +53,9 @@
 	// Slots and Connections bound the requests that run at a time. 0
 	// connections is no bound.
 	Slots, Connections int
+	// Announced says that Slots is what the upstream itself says. Runs then get
+	// slots by age, and roots are refused by the wait for slots; see aged.go.
+	Announced bool
 	// Queue bounds the wait for a slot; nested requests wait up to four times as
 	// long. 0 is no queue.
 	Queue time.Duration
@@ -121,14 +124,17 @@
 	last    Ticket
 	limiter *limit.Limiter
 	meter   *level.Meter
-	running map[Ticket]run
-	waiting map[Ticket]*waiting
-	expiry  expiryHeap
-	ranks   []*rank
-	order   []int       // rank indices, shed last first
-	service serviceTime // of all ranks
-	usage   usage
-	stepped time.Time
+	// governor makes the levels in place of the meter if Config.Announced.
+	governor *level.Governor
+	finished int // runs that ended since the last step of the governor
+	running  map[Ticket]run
+	waiting  map[Ticket]*waiting
+	expiry   expiryHeap
+	ranks    []*rank
+	order    []int       // rank indices, shed last first
+	service  serviceTime // of all ranks
+	usage    usage
+	stepped  time.Time
 }
 
 // New returns a Controller for an upstream that starts now.
@@ -151,16 +157,18 @@
 	c.config = config
 	c.resize(now)
 	c.order = shedOrder(config.Ranks)
-	bounds := limit.Config{Most: config.Slots, SlowStart: config.SlowStart, Ranks: len(config.Ranks)}
+	bounds := limit.Config{Most: config.Slots, Announced: config.Announced, SlowStart: config.SlowStart, Ranks: len(config.Ranks)}
 	if config.Connections > 0 {
 		bounds.Most = min(config.Slots, config.Connections)
 	}
 	if c.limiter == nil {
 		c.limiter = limit.New(now, bounds)
 		c.meter = level.NewMeter(len(config.Ranks))
+		c.governor = level.NewGovernor(len(config.Ranks))
 		return nil
 	}
 	c.limiter.Configure(now, bounds)
+	c.governor.Resize(len(config.Ranks))
 	c.meter.Resize(len(config.Ranks))
 	return c.fill(now)
 }
@@ -174,6 +182,9 @@
 	if c.late(now, r) {
 		return Decision{Verdict: Refused, Reason: ReasonDeadline}
 	}
+	if c.config.Announced {
+		return c.offerAged(now, r)
+	}
 	if c.meter.Refuses(r.Rank, r.ID) {
 		return Decision{Verdict: Refused, Reason: ReasonShed}
 	}
@@ -216,6 +227,7 @@
 	c.advance(now)
 	c.learn(now, finished.rank, s)
 	delete(c.running, t)
+	c.finished++
 	c.ranks[finished.rank].running--
 	return c.fill(now)
 }
@@ -262,12 +274,25 @@
 // Limit returns the number of requests that may run at a time.
 func (c *Controller) Limit(now time.Time) int { return c.limiter.Limit(now) }
 
+// MeanRun returns the mean time of the runs of all ranks, 0 if there were none.
+func (c *Controller) MeanRun() time.Duration {
+	return time.Duration(c.service.mean * float64(time.Second))
+}
+
 // Level returns the level that answers of a rank carry.
-func (c *Controller) Level(rank int) level.Level { return c.meter.Level(c.known(rank)) }
+func (c *Controller) Level(rank int) level.Level {
+	if c.config.Announced {
+		return c.governor.Level(c.known(rank))
+	}
+	return c.meter.Level(c.known(rank))
+}
 
 // RetryAfter returns the wait after which a refused request is of use. It grows
 // with the part of the rank's requests that are refused.
 func (c *Controller) RetryAfter(rank int, id string) time.Duration {
+	if c.config.Announced {
+		return level.RetryAfter(c.Level(rank), id)
+	}
 	k := c.ranks[c.known(rank)]
 	return level.RetryAfter(level.Of((k.granted+1)/(k.offered+1)), id)
 }
--- a/core/admission/queue.go
+++ b/core/admission/queue.go
@@ -22,6 +22,7 @@
 type waiting struct {
 	ticket  Ticket
 	request Request
+	since   time.Time
 	expires time.Time
 	// cause is the reason given when it expires.
 	cause Reason
@@ -85,7 +86,7 @@
 func (c *Controller) enqueue(now time.Time, r Request) (w *waiting, grants []Grant) {
 	k := c.ranks[r.Rank]
 	f := k.flowOf(r.Caller)
-	if k.queued >= max(c.limiter.Limit(now), leastQueue) {
+	if k.queued >= c.queueBound(now) {
 		longest := k.longest()
 		if longest == f && !c.newestFirst(now, k) {
 			return nil, nil
@@ -96,7 +97,7 @@
 		grants = append(grants, Grant{oldest.ticket, ReasonFull})
 	}
 	c.last++
-	w = &waiting{ticket: c.last, request: r, flow: f}
+	w = &waiting{ticket: c.last, request: r, since: now, flow: f}
 	w.expires, w.cause = c.expiryOf(now, r)
 	c.insert(now, k, w)
 	return w, grants
@@ -108,6 +109,9 @@
 	if r.Nested {
 		byQueue = now.Add(nestedPatience * c.config.Queue)
 	}
+	if r.Nested && c.config.Announced {
+		byQueue = r.Deadline
+	}
 	byDeadline := r.Deadline.Add(-c.ranks[r.Rank].service.estimate(now))
 	if byDeadline.Before(byQueue) {
 		return byDeadline, ReasonDeadline
@@ -162,7 +166,7 @@
 // newestFirst reports whether the rank has had a queue for longer than a request
 // may wait: then the oldest requests are the least likely to be of use.
 func (c *Controller) newestFirst(now time.Time, k *rank) bool {
-	return k.queued > 0 && now.Sub(k.backlogged) > c.config.Queue
+	return !c.config.Announced && k.queued > 0 && now.Sub(k.backlogged) > c.config.Queue
 }
 
 // next takes the request whose turn it is out of a rank's queue: one of each
--- a/core/admission/share.go
+++ b/core/admission/share.go
@@ -110,8 +110,11 @@
 		k.peak = max(k.peak*peakFade, float64(k.running+k.queued))
 		c.account(now, i, c.config.Ranks[i].Share*slots, elapsed)
 	}
-	if c.meter.Due(now) {
+	switch {
+	case !c.config.Announced && c.meter.Due(now):
 		c.step(now)
+	case c.config.Announced && c.governor.Due(now):
+		c.stepAged(now)
 	}
 }
 
@@ -196,6 +199,9 @@
 	if free <= 0 || len(c.waiting) == 0 {
 		return 0, false
 	}
+	if c.config.Announced {
+		return c.chooseAged()
+	}
 	if i, ok := c.mostDeprived(float64(slots)); ok {
 		return i, true
 	}
--- a/core/limit/limit.go
+++ b/core/limit/limit.go
@@ -58,6 +58,10 @@
 type Config struct {
 	// Most bounds the limit.
 	Most int
+	// Announced says that Most is the number of requests that the upstream itself
+	// says it runs at a time. Latency then tells nothing of it: it holds the calls
+	// that a run makes, and changes with the mix of requests.
+	Announced bool
 	// SlowStart is the time from New over which the bound rises to Most.
 	SlowStart time.Duration
 	// Ranks is the number of ranks, which have a base latency each.
@@ -219,7 +223,7 @@
 	cut := false
 	if !w.settling {
 		cut = l.judgeRefusals(now, w)
-		if !cut {
+		if !cut && !l.config.Announced {
 			cut = l.judgeLatency(now, w)
 		}
 	}
--- /dev/null
+++ b/core/route/load_test.go
@@ -0,0 +1,72 @@
+package route
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// loadedTiers returns a picker that knows one peer in the own data centre, one
+// in the region and one far, each with a load that it has just told.
+func loadedTiers(now time.Time, near, region, far Load) *Picker {
+	p := NewPicker(here)
+	peers := append(peersOf("s", "south", "south-1", 1), peersOf("s", "south", "south-2", 1)...)
+	peers = append(peers, peersOf("s", "north", "north-1", 1)...)
+	p.Update(now, peers)
+	for i, l := range []Load{near, region, far} {
+		p.Begin("s", peers[i].ID)
+		p.Done(now, "s", peers[i].ID, Result{Latency: l.Service, Load: l})
+	}
+	return p
+}
+
+// TestSpillsWhenWaitingCostsMore plays the load of which one data centre has
+// more than its upstream takes while others have room.
+func TestSpillsWhenWaitingCostsMore(t *testing.T) {
+	load := func(busy int) Load { return Load{Busy: busy, Slots: 16, Service: 80 * time.Millisecond} }
+	for _, c := range []struct {
+		name              string
+		near, region, far int
+		want              string
+	}{
+		{"all idle", 0, 0, 0, "south-1"},
+		{"near busy, without a queue", 15, 0, 0, "south-1"},
+		{"near has a short queue", 20, 0, 0, "south-1"},
+		{"near has a queue that outlasts the way", 24, 0, 0, "south-2"},
+		{"region is full too, far is not worth it", 32, 30, 15, "south-1"},
+		{"all but far are overloaded", 40, 40, 0, "north-1"},
+		{"all are overloaded alike", 60, 60, 60, "south-1"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			p := loadedTiers(start, load(c.near), load(c.region), load(c.far))
+			choice, ok := p.Pick(start, Query{Service: "s", Far: true}, newRandom())
+			is.New(t).True(ok)
+			is.New(t).Equal(choice.DataCentre, c.want)
+		})
+	}
+}
+
+// TestOwnCallsCountBeforeTheyAreReported: a daemon that sends a burst does not
+// wait for the peer's word that its queue is long.
+func TestOwnCallsCountBeforeTheyAreReported(t *testing.T) {
+	idle := Load{Busy: 0, Slots: 16, Service: 80 * time.Millisecond}
+	p := loadedTiers(start, idle, idle, idle)
+	went := map[string]int{}
+	for range 64 {
+		choice, _ := p.Pick(start, Query{Service: "s", Far: true}, newRandom())
+		went[choice.DataCentre]++
+	}
+	// 30 ms of waiting are 6 requests, at 80 ms each on 16 slots.
+	is := is.New(t)
+	is.True(went["south-1"]-went["south-2"] <= 7)
+	is.True(went["south-2"] > 0)
+	is.True(went["north-1"] > 0)
+}
+
+func TestOldLoadIsForgotten(t *testing.T) {
+	full := Load{Busy: 200, Slots: 16, Service: 80 * time.Millisecond}
+	p := loadedTiers(start, full, Load{Slots: 16, Service: 80 * time.Millisecond}, full)
+	choice, _ := p.Pick(start.Add(loadMemory), Query{Service: "s", Far: true}, newRandom())
+	is.New(t).Equal(choice.DataCentre, "south-1")
+}
--- a/core/route/peer.go
+++ b/core/route/peer.go
@@ -54,6 +54,7 @@
 	failures average // 0 to 1
 	refusals average // 0 to 1
 	ejection ejection
+	load     reported
 	// leavingUntil holds back new calls after a refusal as leaving.
 	leavingUntil time.Time
 }
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -117,8 +117,7 @@
 	if s == nil {
 		return Choice{}, false
 	}
-	p.scratch = s.candidates(now, q, p.scratch)
-	peer := cheaper(now, q.SlowStart, p.scratch, random)
+	peer := p.choose(now, s, q, random)
 	if peer == nil {
 		return Choice{}, false
 	}
@@ -126,6 +125,32 @@
 	return Choice{peer.Peer, peer.tier == tierFar}, true
 }
 
+// choose returns the peer of a call, or nil: of each tier that may be used the
+// better of two, and of these the nearest unless a farther one saves waiting.
+func (p *Picker) choose(now time.Time, s *service, q Query, random Random) *peerState {
+	last := tierRegion
+	if q.Far {
+		last = tierFar
+	}
+	var best, refusing *peerState
+	for t := tierDataCentre; t <= last; t++ {
+		p.scratch = s.usable(now, t, q, p.scratch[:0])
+		peer := cheaper(now, q.SlowStart, p.scratch, random)
+		if peer == nil {
+			continue
+		}
+		if refusalRate(now, p.scratch) >= spillAt {
+			refusing = nearer(now, refusing, peer)
+			continue
+		}
+		best = nearer(now, best, peer)
+	}
+	if best == nil {
+		return refusing
+	}
+	return best
+}
+
 // Begin counts a call to a peer that was chosen by other means, such as the owner
 // of a key, as in flight there until Done.
 func (p *Picker) Begin(serviceName, id string) {
@@ -174,6 +199,8 @@
 	Refused bool
 	// Leaving is set when the peer refused because it is leaving.
 	Leaving bool
+	// Load is what the peer said of its load; zero if it said nothing.
+	Load Load
 }
 
 // Done ends a call that Pick or Begin counted.
@@ -191,6 +218,7 @@
 	}
 	peer.inFlight = max(peer.inFlight-1, 0)
 	peer.note(now, r)
+	peer.learnLoad(now, r.Load)
 	if r.Failed {
 		s.consider(now, peer)
 	}
--- a/core/route/service.go
+++ b/core/route/service.go
@@ -77,29 +77,6 @@
 	return subsetLeast + s.inFlight/callsPerPeer
 }
 
-// candidates appends to into the peers that a call may go to: the usable subset
-// of the nearest tier that is not refusing most calls.
-func (s *service) candidates(now time.Time, q Query, into []*peerState) []*peerState {
-	last := tierRegion
-	if q.Far {
-		last = tierFar
-	}
-	var fallback []*peerState
-	for t := tierDataCentre; t <= last; t++ {
-		into = s.usable(now, t, q, into[:0])
-		if len(into) == 0 {
-			continue
-		}
-		if refusalRate(now, into) < spillAt {
-			return into
-		}
-		if fallback == nil {
-			fallback = slices.Clone(into)
-		}
-	}
-	return fallback
-}
-
 // usable appends the first peers of a tier that may get the call, as many as
 // the subset holds.
 func (s *service) usable(now time.Time, t tier, q Query, into []*peerState) []*peerState {
--- a/node/call/call.go
+++ b/node/call/call.go
@@ -77,6 +77,8 @@
 type Request struct {
 	// ID names the root request; the same at every hop.
 	ID string
+	// Label is the caller's own name for this one request, if it gave one.
+	Label string
 	// Run names this attempt; unique.
 	Run string
 	// Service is the service asked for.
@@ -112,6 +114,15 @@
 	KeyMade bool
 }
 
+// Load is the work at the upstream of an instance.
+type Load struct {
+	// Busy is the requests that run or wait, Slots those that run at a time; 0
+	// slots if the load is not known.
+	Busy, Slots int
+	// Service is the mean time of a run.
+	Service time.Duration
+}
+
 // Answer is the answer to a Request. The receiver closes Body.
 type Answer struct {
 	Status int
@@ -129,6 +140,8 @@
 	RetryAfter time.Duration
 	// Unspent is the part of Request.Retries that was not used.
 	Unspent int
+	// Load is what the instance that ran or refused the request says of its load.
+	Load Load
 	// Level is the worst admission level of the subtree, 0 if none refuses.
 	Level uint32
 }
--- a/node/daemon/daemon.go
+++ b/node/daemon/daemon.go
@@ -113,6 +113,7 @@
 	table := runs.NewTable()
 	d.shared = newShared(c, store, d.settings, d.picker, d.metrics, log)
 	d.gate = upstream.NewGate(c.Service, d.settings)
+	d.gate.LogTo(log)
 	d.runner = upstream.NewRunner(base, d.gate, table, s.options()...)
 	d.pool = link.NewPool(identity, link.DefaultTiming(), log)
 	d.guardOwn(store, base)
--- a/node/gateway/retries.go
+++ b/node/gateway/retries.go
@@ -67,7 +67,7 @@
 	if r.Host == "" {
 		return
 	}
-	g.Log.Log(event.RequestRetried).Str("request", r.ID).Str("service", r.Service).Str("peer", peer).
+	g.Log.Log(event.RequestRetried).Str("request", r.Label).Str("service", r.Service).Str("peer", peer).
 		Str("refusal", string(answer.Refusal)).Str("outcome", string(answer.Outcome)).Str("detail", answer.Detail).
 		Str("price", price).Int64("left_ms", time.Until(r.Deadline).Milliseconds()).Msg("request sent to another peer")
 }
--- a/node/gateway/routed.go
+++ b/node/gateway/routed.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"math/rand/v2"
 	"net/http"
 	"time"
@@ -12,6 +13,7 @@
 	"fuchsiavane.org/core/settings"
 	"fuchsiavane.org/node/call"
 	"fuchsiavane.org/node/event"
+	"fuchsiavane.org/node/runs"
 )
 
 // Dialect is the convention of headers at the routed port, at which callers
@@ -27,6 +29,9 @@
 type Head struct {
 	// ID names the request.
 	ID string
+	// Parent names the run of the own upstream that makes this call, by the label
+	// of its request; empty if there is none.
+	Parent string
 	// Timeout is how long the caller waits; 0 if it does not say.
 	Timeout time.Duration
 	// Caller is the name that the request's origin has for the upstream.
@@ -87,12 +92,33 @@
 	target := route.Choose(rand.Float64())
 	values := target.Values()
 	request := &call.Request{
-		ID: head.ID, Service: target.Service, Host: r.Host, Method: r.Method,
+		ID: head.ID, Label: head.ID, Service: target.Service, Host: r.Host, Method: r.Method,
 		Target: r.RequestURI, Path: route.Prefix, Header: forwardHeader(r.Header), Body: body,
 		Caller: head.Caller, Rank: values.Rank, Idempotent: values.IsIdempotent(r.Method),
 		Deadline: now.Add(allowed(head.Timeout, values.Timeout)), Objective: objective(now, &values),
 	}
-	return &prepared{ctx: r.Context(), request: request, values: values, budget: retry.NewBudget(values.Attempts - 1)}, nil
+	p := &prepared{ctx: r.Context(), request: request, values: values, budget: retry.NewBudget(values.Attempts - 1)}
+	if parent := g.Runs.FindLabel(head.Parent); parent != nil {
+		g.inherit(p, parent)
+	}
+	return p, nil
+}
+
+// inherit makes a call the child of the run that makes it: it has the run's root,
+// rank and end. The name of a parent is believed only while that run is in
+// progress at the own upstream.
+func (g *Gateway) inherit(p *prepared, parent *runs.Run) {
+	p.parent = parent
+	p.request.ID = parent.RequestID
+	p.request.Rank = parent.Rank
+	p.values.Rank = parent.Rank
+	p.request.Nested = true
+	if parent.Deadline.Before(p.request.Deadline) {
+		p.request.Deadline = parent.Deadline
+	}
+	ctx, cancel := context.WithCancel(p.ctx)
+	context.AfterFunc(parent.Context, cancel)
+	p.ctx = ctx
 }
 
 // allowed returns the lesser of the caller's wait, if it gave one, and the
@@ -126,7 +152,7 @@
 	if line == nil {
 		return
 	}
-	line.Str("request", r.ID).Str("service", r.Service).Str("path", r.Path).Str("rank", r.Rank).
+	line.Str("request", r.Label).Str("root", r.ID).Str("service", r.Service).Str("path", r.Path).Str("rank", r.Rank).
 		Int("status", a.Status).Str("outcome", string(a.Outcome)).Int64("took_ms", took.Milliseconds()).
 		Int64("left_ms", time.Until(r.Deadline).Milliseconds()).Uint64("settings", g.Settings.Current().Revision)
 	if a.Refusal != call.RefusedNone {
--- a/node/link/client.go
+++ b/node/link/client.go
@@ -217,7 +217,7 @@
 		objective = r.Objective.Sub(now).Microseconds()
 	}
 	return &wire.Request{
-		Host: r.Host, ObjectiveLeft: objective,
+		Host: r.Host, Label: r.Label, ObjectiveLeft: objective,
 		ID: r.ID, Run: r.Run, Service: r.Service, Method: r.Method, Target: r.Target, Path: r.Path,
 		Header: r.Header, Caller: r.Caller, Rank: r.Rank, TimeLeft: r.Deadline.Sub(now).Microseconds(),
 		Retries: r.Retries, Idempotent: r.Idempotent, Key: r.Key, Nested: r.Nested,
@@ -263,5 +263,6 @@
 		Status: a.Status, Header: header, Length: a.Length, Body: b,
 		Outcome: call.Outcome(a.Outcome), Refusal: call.Refusal(a.Refusal), Detail: a.Detail,
 		RetryAfter: time.Duration(a.RetryAfter) * time.Millisecond, Unspent: a.Unspent, Level: a.Level,
+		Load: call.Load{Busy: a.Busy, Slots: a.Slots, Service: time.Duration(a.Service) * time.Microsecond},
 	}
 }
--- a/node/link/server.go
+++ b/node/link/server.go
@@ -122,7 +122,7 @@
 		objective = now.Add(time.Duration(w.ObjectiveLeft) * time.Microsecond)
 	}
 	return &call.Request{
-		Host: w.Host, Objective: objective,
+		Host: w.Host, Label: w.Label, Objective: objective,
 		ID: w.ID, Run: w.Run, Service: w.Service, Method: w.Method, Target: w.Target, Path: w.Path,
 		Header: header, Caller: w.Caller, Rank: w.Rank, Retries: w.Retries,
 		Deadline:   now.Add(time.Duration(w.TimeLeft) * time.Microsecond),
@@ -252,5 +252,6 @@
 		Status: a.Status, Header: a.Header, Length: a.Length, Outcome: string(a.Outcome),
 		Refusal: string(a.Refusal), Detail: a.Detail, RetryAfter: a.RetryAfter.Milliseconds(),
 		Unspent: a.Unspent, Level: a.Level,
+		Busy: a.Load.Busy, Slots: a.Load.Slots, Service: a.Load.Service.Microseconds(),
 	}
 }
--- a/node/runs/runs.go
+++ b/node/runs/runs.go
@@ -14,11 +14,12 @@
 
 // Run is one request at the upstream.
 type Run struct {
-	// ID names the run; RequestID names the root request.
-	ID, RequestID string
-	Caller, Rank  string
-	Deadline      time.Time
-	Budget        *retry.Budget
+	// ID names the run; RequestID names the root request, and Label the one
+	// request by the name that its caller gave it, if any.
+	ID, RequestID, Label string
+	Caller, Rank         string
+	Deadline             time.Time
+	Budget               *retry.Budget
 	// Context ends when the run is cancelled or over.
 	Context context.Context
 
@@ -51,23 +52,35 @@
 type Table struct {
 	mu   sync.RWMutex
 	runs map[string]*Run
+	// labelled holds the runs that have a label, by it.
+	labelled map[string]*Run
 }
 
 // NewTable returns an empty Table.
-func NewTable() *Table { return &Table{runs: map[string]*Run{}} }
+func NewTable() *Table { return &Table{runs: map[string]*Run{}, labelled: map[string]*Run{}} }
 
 // Begin adds a run.
 func (t *Table) Begin(r *Run) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.runs[r.ID] = r
+	if r.Label != "" {
+		t.labelled[r.Label] = r
+	}
 }
 
 // End removes a run. Calls that it makes later find no budget.
 func (t *Table) End(id string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	r := t.runs[id]
+	if r == nil {
+		return
+	}
 	delete(t.runs, id)
+	if t.labelled[r.Label] == r {
+		delete(t.labelled, r.Label)
+	}
 }
 
 // Find returns a run in progress, or nil.
@@ -77,6 +90,13 @@
 	return t.runs[id]
 }
 
+// FindLabel returns a run in progress by its label, or nil.
+func (t *Table) FindLabel(label string) *Run {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return t.labelled[label]
+}
+
 // Len returns the number of runs in progress.
 func (t *Table) Len() int {
 	t.mu.RLock()
--- a/node/upstream/gate.go
+++ b/node/upstream/gate.go
@@ -8,6 +8,7 @@
 	"fuchsiavane.org/core/admission"
 	"fuchsiavane.org/core/level"
 	"fuchsiavane.org/node/call"
+	"fuchsiavane.org/node/event"
 	"fuchsiavane.org/node/settingsync"
 )
 
@@ -18,11 +19,16 @@
 // queuedInterval is the pause between looks at the queue while requests wait.
 const queuedInterval = 5 * time.Millisecond
 
+// announcedPart is the part of the slots that an upstream announces that is
+// used: one that has every slot taken may slow down.
+const announcedPart = 0.95
+
 // Gate holds the admission controller of the upstream and lets requests wait
 // for its grants. It is safe for concurrent use.
 type Gate struct {
 	service  string
 	settings *settingsync.Holder
+	log      *event.Logger
 
 	mu         sync.Mutex
 	controller *admission.Controller
@@ -40,6 +46,7 @@
 	g := &Gate{
 		service:  service,
 		settings: holder,
+		log:      event.Discard(),
 		waiting:  map[admission.Ticket]chan admission.Reason{},
 		queued:   make(chan struct{}, 1),
 	}
@@ -47,6 +54,9 @@
 	return g
 }
 
+// LogTo makes the Gate log its refusals.
+func (g *Gate) LogTo(log *event.Logger) { g.log = log }
+
 // Pass is a slot held by a running request.
 type Pass struct {
 	gate    *Gate
@@ -93,7 +103,7 @@
 		reason = g.wait(ctx, d.Ticket, granted)
 	}
 	if reason != admission.ReasonNone {
-		return nil, g.refuse(rank, r.ID, reason)
+		return nil, g.refuse(r, rank, reason, time.Since(now))
 	}
 	return &Pass{gate: g, ticket: d.Ticket, entered: time.Now()}, nil
 }
@@ -127,11 +137,16 @@
 	return <-granted
 }
 
-func (g *Gate) refuse(rank int, id string, reason admission.Reason) *call.Answer {
+func (g *Gate) refuse(r *call.Request, rank int, reason admission.Reason, waited time.Duration) *call.Answer {
 	g.mu.Lock()
-	retryAfter := g.controller.RetryAfter(rank, id)
+	retryAfter := g.controller.RetryAfter(rank, r.ID)
 	worst := g.controller.Level(rank)
+	running, queued, limit := g.controller.InFlight(), g.controller.Queued(), g.controller.Limit(time.Now())
 	g.mu.Unlock()
+	g.log.Log(event.RequestHeld).Str("request", r.Label).Str("root", r.ID).Str("rank", r.Rank).Bool("nested", r.Nested).
+		Str("reason", string(reason)).Int64("waited_ms", waited.Milliseconds()).Int64("left_ms", time.Until(r.Deadline).Milliseconds()).
+		Int("running", running).Int("queued", queued).Int("limit", limit).Float64("level_pass", level.Pass(worst)).
+		Uint64("settings", g.settings.Current().Revision).Msg("no slot")
 	var a *call.Answer
 	switch reason {
 	case reasonCancelled:
@@ -223,6 +238,14 @@
 	return g.controller.InFlight(), g.controller.Queued()
 }
 
+// Report returns the load that answers carry.
+func (g *Gate) Report() call.Load {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	c := g.controller
+	return call.Load{Busy: c.InFlight() + c.Queued(), Slots: c.Limit(time.Now()), Service: c.MeanRun()}
+}
+
 // Limit returns the number of requests that may run at a time.
 func (g *Gate) Limit() int {
 	g.mu.Lock()
@@ -270,9 +293,9 @@
 	v := document.ServiceValues(g.service)
 	shares := document.SharesAt(g.service, now)
 	if g.slots > 0 {
-		v.Slots = g.slots
+		v.Slots = max(1, int(announcedPart*float64(g.slots)))
 	}
-	config := admission.Config{Slots: v.Slots, Connections: v.Connections, Queue: v.Queue, SlowStart: v.SlowStart}
+	config := admission.Config{Announced: g.slots > 0, Slots: v.Slots, Connections: v.Connections, Queue: v.Queue, SlowStart: v.SlowStart}
 	for i, rank := range document.Ranks() {
 		config.Ranks = append(config.Ranks, admission.Rank{Share: shares[i], Protected: rank.Protected})
 	}
--- a/node/upstream/upstream.go
+++ b/node/upstream/upstream.go
@@ -91,6 +91,13 @@
 
 // Serve implements call.Server.
 func (u *Runner) Serve(ctx context.Context, r *call.Request) *call.Answer {
+	a := u.admit(ctx, r)
+	a.Load = u.gate.Report()
+	return a
+}
+
+// admit runs a request if the upstream takes work and there is a slot.
+func (u *Runner) admit(ctx context.Context, r *call.Request) *call.Answer {
 	if refusal := u.closed(r); refusal != nil {
 		return refusal
 	}
@@ -129,7 +136,7 @@
 func (u *Runner) run(ctx context.Context, r *call.Request, pass *Pass) *call.Answer {
 	ctx, cancel := until(ctx, r.Deadline)
 	run := &runs.Run{
-		ID: r.Run, RequestID: r.ID, Caller: r.Caller, Rank: r.Rank, Deadline: r.Deadline,
+		ID: r.Run, RequestID: r.ID, Label: r.Label, Caller: r.Caller, Rank: r.Rank, Deadline: r.Deadline,
 		Budget: retry.NewBudget(r.Retries), Context: ctx,
 	}
 	u.table.Begin(run)
--- a/node/wire/wire.go
+++ b/node/wire/wire.go
@@ -122,6 +122,7 @@
 	Key        string `cbor:"13,keyasint,omitempty"`
 	Nested     bool   `cbor:"14,keyasint,omitempty"`
 	Host       string `cbor:"15,keyasint,omitempty"`
+	Label      string `cbor:"17,keyasint,omitempty"`
 	// ObjectiveLeft is in microseconds; 0 for none.
 	ObjectiveLeft int64 `cbor:"16,keyasint,omitempty"`
 }
@@ -138,6 +139,10 @@
 	RetryAfter int64  `cbor:"7,keyasint,omitempty"`
 	Unspent    int    `cbor:"8,keyasint,omitempty"`
 	Level      uint32 `cbor:"9,keyasint,omitempty"`
+	// Busy, Slots and Service (microseconds) are the load of the serving side.
+	Busy    int   `cbor:"10,keyasint,omitempty"`
+	Slots   int   `cbor:"11,keyasint,omitempty"`
+	Service int64 `cbor:"12,keyasint,omitempty"`
 }
 
 var (
