Judge the wait by the standing queue, and give slots almost by age alone

Bookings ended in 500 at their last calls. Ruled out: faults of the upstream (error_share 0.004). Change: head start 10 ms; the wait aimed at is 20 ms or half a run, of the queue that stood all through an interval.

--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -126,7 +126,9 @@
 	meter   *level.Meter
 	// governor makes the levels in place of the meter if Config.Announced.
 	governor *level.Governor
-	finished int // runs that ended since the last step of the governor
+	// finished is the runs that ended, and standing the least number of requests
+	// that waited, since the last step of the governor.
+	finished, standing int
 	running  map[Ticket]run
 	waiting  map[Ticket]*waiting
 	expiry   expiryHeap
--- a/core/admission/aged.go
+++ b/core/admission/aged.go
@@ -10,12 +10,12 @@
 	// headStart is how much older a request counts than one of the next less
 	// urgent rank: about the time of a run, so that urgent work goes first and
 	// other work that was let in still gets its turn.
-	headStart = 60 * time.Millisecond
+	headStart = 10 * time.Millisecond
 	// agedQueue bounds a rank's queue in multiples of the limit.
 	agedQueue = 12
 	// leastTarget is the least wait for a slot that is aimed at; below it chance
 	// alone makes the wait.
-	leastTarget = 40 * time.Millisecond
+	leastTarget = 20 * time.Millisecond
 )
 
 // offerAged asks for a slot of an upstream that announces its slots. Calls of a
@@ -96,7 +96,7 @@
 	c.usage.used, c.usage.slots = 0, 0
 	c.governor.Step(now, level.Service{
 		Finished: c.finished, Used: used,
-		Wait: c.timeOf(now, len(c.waiting)), Target: max(leastTarget, c.MeanRun()),
+		Wait: c.timeOf(now, c.standing), Target: max(leastTarget, c.MeanRun()/2),
 	})
-	c.finished = 0
+	c.finished, c.standing = 0, len(c.waiting)
 }
--- a/core/admission/share.go
+++ b/core/admission/share.go
@@ -165,6 +165,7 @@
 	for {
 		i, ok := c.choose(now)
 		if !ok {
+			c.standing = min(c.standing, len(c.waiting))
 			return grants
 		}
 		w := c.next(now, c.ranks[i])
