--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -129,14 +129,14 @@
 	// finished is the runs that ended, and standing the least number of requests
 	// that waited, since the last step of the governor.
 	finished, standing int
-	running  map[Ticket]run
-	waiting  map[Ticket]*waiting
-	expiry   expiryHeap
-	ranks    []*rank
-	order    []int       // rank indices, shed last first
-	service  serviceTime // of all ranks
-	usage    usage
-	stepped  time.Time
+	running            map[Ticket]run
+	waiting            map[Ticket]*waiting
+	expiry             expiryHeap
+	ranks              []*rank
+	order              []int       // rank indices, shed last first
+	service            serviceTime // of all ranks
+	usage              usage
+	stepped            time.Time
 }
 
 // New returns a Controller for an upstream that starts now.
