--- a/core/retry/returns.go
+++ b/core/retry/returns.go
@@ -9,18 +9,21 @@
 	// mostReturn bounds it where the caller has much time, so that it comes back
 	// while it still waits.
 	mostReturn = 1500 * time.Millisecond
+	// mostRefused is the part let through below which a return in time would most
+	// likely be refused again; a later one may outlast the overload.
+	mostRefused = 0.4
 )
 
 // ReturnAfter returns the wait after which a refused caller does best to come
-// back. target is the time from its first attempt in which an answer is of full
-// use, took what has passed of it, and typical how long such requests take. draw
-// is uniform in [0, 1). Callers are spread over the later half of the time in
-// which they can still be answered within the target: a return that comes later
-// is served for half of its use at the same cost.
-func ReturnAfter(target, took, typical time.Duration, draw float64) time.Duration {
+// back. pass is the part of such requests that is let through now, target the time
+// from the caller's first attempt in which an answer is of full use, took what has
+// passed of it, and typical how long such requests take. draw is uniform in
+// [0, 1). Callers are spread over the later half of the time in which they can
+// still be answered within the target, since a later answer is of less use.
+func ReturnAfter(pass float64, target, took, typical time.Duration, draw float64) time.Duration {
 	room := min(target-took-typical, mostReturn)
-	if room < 2*leastReturn {
-		// Too late for the target: come back when there is most room.
+	if room < 2*leastReturn || pass < mostRefused {
+		// Come back when there is most room.
 		room = mostReturn
 	}
 	return room/2 + time.Duration(draw*float64(room/2))
--- a/core/retry/returns_test.go
+++ b/core/retry/returns_test.go
@@ -13,19 +13,21 @@
 	const ms = time.Millisecond
 	for _, c := range []struct {
 		name                  string
+		pass                  float64
 		target, took, typical time.Duration
 		least, most           time.Duration
 	}{
-		{"in time", 1500 * ms, 10 * ms, 490 * ms, 500 * ms, 1000 * ms},
-		{"much time", 4000 * ms, 0, 600 * ms, 750 * ms, 1500 * ms},
-		{"little time", 400 * ms, 0, 90 * ms, 155 * ms, 310 * ms},
-		{"too late", 400 * ms, 300 * ms, 90 * ms, 750 * ms, 1500 * ms},
+		{"in time", 0.8, 1500 * ms, 10 * ms, 490 * ms, 500 * ms, 1000 * ms},
+		{"much time", 0.8, 4000 * ms, 0, 600 * ms, 750 * ms, 1500 * ms},
+		{"little time", 0.8, 400 * ms, 0, 90 * ms, 155 * ms, 310 * ms},
+		{"most are refused", 0.2, 1500 * ms, 10 * ms, 490 * ms, 750 * ms, 1500 * ms},
+		{"too late", 0.8, 400 * ms, 300 * ms, 90 * ms, 750 * ms, 1500 * ms},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
-			is.Equal(ReturnAfter(c.target, c.took, c.typical, 0), c.least)
-			is.True(ReturnAfter(c.target, c.took, c.typical, 0.999999) <= c.most)
-			is.True(ReturnAfter(c.target, c.took, c.typical, 0.5) > c.least)
+			is.Equal(ReturnAfter(c.pass, c.target, c.took, c.typical, 0), c.least)
+			is.True(ReturnAfter(c.pass, c.target, c.took, c.typical, 0.999999) <= c.most)
+			is.True(ReturnAfter(c.pass, c.target, c.took, c.typical, 0.5) > c.least)
 		})
 	}
 }
--- a/node/gateway/returns.go
+++ b/node/gateway/returns.go
@@ -42,7 +42,7 @@
 }
 
 // after returns the wait told with a refusal.
-func (t *returns) after(r *call.Request, v *settings.Values, took time.Duration) time.Duration {
+func (t *returns) after(r *call.Request, pass float64, v *settings.Values, took time.Duration) time.Duration {
 	t.mu.Lock()
 	typical := t.typical[keyOf(r)]
 	t.mu.Unlock()
@@ -50,5 +50,5 @@
 	if target == 0 {
 		target = v.Timeout
 	}
-	return retry.ReturnAfter(target, took, typical, rand.Float64())
+	return retry.ReturnAfter(pass, target, took, typical, rand.Float64())
 }
--- a/node/gateway/routed.go
+++ b/node/gateway/routed.go
@@ -60,7 +60,7 @@
 	case answer.Outcome == call.Ran:
 		g.returns.learn(p.request, took)
 	case answer.Outcome == call.NotRun && answer.Refusal == call.RefusedOverload:
-		answer.RetryAfter = g.returns.after(p.request, &p.values, took)
+		answer.RetryAfter = g.returns.after(p.request, passOf(answer), &p.values, took)
 	}
 	g.Observer.Called(p.request.Service, p.request.Caller, p.request.Rank, answer.Outcome, answer.Refusal, took)
 	g.logEnd(p.request, answer, took)
