Leave silent peers sooner: doubt, short dials, idempotent requests go elsewhere

Ruled out: refusals (left_ms 0, took_ms the whole timeout, no line at the peer). Change: a ping without answer for 120 ms keeps new requests off the link; a call waits 300 ms for a dial; idempotent requests of a broken link are given up after 250 ms and may be sent elsewhere; others go on asking. Shown: TestSilentPeerGetsNothingNew, TestDialThatHangsIsNotAwaited.

--- a/node/link/client.go
+++ b/node/link/client.go
@@ -19,6 +19,9 @@
 // errLeaving means that the peer stops as planned and takes no new stream.
 var errLeaving = errors.New("link: the peer is leaving")
 
+// errDoubtful means that the peer has left a ping without answer for a while.
+var errDoubtful = errors.New("link: the peer is silent")
+
 // Error is a call that got no answer.
 type Error struct {
 	// Sent says that the peer may have got a part of the request.
@@ -120,6 +123,9 @@
 	if l.leaving {
 		return errLeaving
 	}
+	if l.conn.doubtful.Load() {
+		return errDoubtful
+	}
 	return l.add(s)
 }
 
--- a/node/link/conn.go
+++ b/node/link/conn.go
@@ -53,6 +53,8 @@
 	// direction works.
 	lastRead atomic.Int64
 	began    time.Time
+	// doubtful is set while a ping has had no answer for Timing.Doubt.
+	doubtful atomic.Bool
 
 	mu      sync.Mutex
 	room    *sync.Cond
@@ -157,6 +159,9 @@
 			}
 			if f.Type != wire.TypePing {
 				c.lastRead.Store(int64(time.Since(c.began)))
+				if c.doubtful.Load() {
+					c.doubtful.Store(false)
+				}
 			}
 			if err := handle(f); err != nil {
 				return err
@@ -195,6 +200,9 @@
 			pinged = 0
 		}
 		if pinged != 0 {
+			if timing.Doubt > 0 && now-pinged > timing.Doubt {
+				c.doubtful.Store(true)
+			}
 			if now-pinged > timing.Silence {
 				c.close(ErrSilent)
 				return
--- a/node/link/pool.go
+++ b/node/link/pool.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -98,9 +99,30 @@
 		go p.open(t, entry)
 	}
 	p.mu.Unlock()
+	return p.await(ctx, entry)
+}
+
+// errOpening means that a link takes long to open: the peer may be gone.
+var errOpening = errors.New("link: the peer does not answer the dial")
+
+// await returns the link of an entry when it is open.
+func (p *Pool) await(ctx context.Context, entry *pooled) (*Link, error) {
 	select {
 	case <-entry.opened:
 		return entry.link, entry.err
+	default:
+	}
+	var late <-chan time.Time
+	if p.timing.Opening > 0 {
+		timer := time.NewTimer(p.timing.Opening)
+		defer timer.Stop()
+		late = timer.C
+	}
+	select {
+	case <-entry.opened:
+		return entry.link, entry.err
+	case <-late:
+		return nil, errOpening
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	}
@@ -125,7 +147,7 @@
 	reason := link.run()
 	p.remove(t, entry)
 	p.log.Log(event.LinkClosed).Str("addr", t.addr).Str("class", string(t.class)).Err(reason).Msg("link closed")
-	p.recover(t, link.orphans(), reason)
+	p.recover(t, link, reason)
 }
 
 // opened hands a link to those who wait. It reports false if the Pool is closed.
@@ -177,10 +199,20 @@
 // recover asks, on a new link, for the answers of streams whose link broke. It
 // gives up when the peer refuses connections, since a process that is gone
 // can't be asked, and after Timing.Recovery.
-func (p *Pool) recover(t target, streams []*clientStream, reason error) {
+func (p *Pool) recover(t target, broken *Link, reason error) {
+	streams := broken.orphans()
 	if len(streams) == 0 {
 		return
 	}
+	if p.timing.Repeatable > 0 {
+		repeatable := slices.DeleteFunc(slices.Clone(streams), func(s *clientStream) bool { return !s.repeatable })
+		timer := time.AfterFunc(p.timing.Repeatable, func() {
+			for _, s := range repeatable {
+				s.abandon(broken, reason)
+			}
+		})
+		defer timer.Stop()
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), p.timing.Recovery)
 	defer cancel()
 	asked := 0
--- a/node/link/recovery_test.go
+++ b/node/link/recovery_test.go
@@ -268,3 +268,56 @@
 	group.Wait()
 	is.Equal(cut.Load(), int64(0))
 }
+
+// TestSilentPeerGetsNothingNew plays a machine that loses power: a link whose ping
+// has no answer takes no new request and says that none was sent; an idempotent
+// request on it is given up soon after the link ends, and another one waits for
+// what the peer knows of it.
+func TestSilentPeerGetsNothingNew(t *testing.T) {
+	is := is.New(t)
+	timing := testTiming
+	timing.Doubt = timing.Heartbeat
+	timing.Repeatable = 50 * time.Millisecond
+	timing.Recovery = patience
+	server := newHeld(nil)
+	p := newPeer(t, "k", server)
+	r := newRelay(t, p.addr())
+	pool := newTimedPool(t, "k", timing)
+	repeatable := newRequest(nil)
+	repeatable.Idempotent = true
+	given, kept := doAsync(pool, r.addr(), repeatable), doAsync(pool, r.addr(), newRequest(nil))
+	<-server.begun
+	<-server.begun
+	r.deaf.Store(true)
+	r.freeze(true, true)
+	eventually(t, "doubted", func() bool {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Millisecond)
+		defer cancel()
+		_, err := pool.Do(ctx, r.addr(), ClassUrgent, newRequest(nil))
+		var failure *Error
+		return errors.As(err, &failure) && !failure.Sent && errors.Is(err, errDoubtful)
+	})
+	got := <-given
+	is.True(errors.Is(got.err, ErrSilent))
+	select {
+	case <-kept:
+		t.Fatal("a request that must not run twice was given up")
+	case <-time.After(4 * timing.Repeatable):
+	}
+}
+
+// TestDialThatHangsIsNotAwaited: a machine without power answers no dial, and a
+// call to it is told soon that nothing was sent.
+func TestDialThatHangsIsNotAwaited(t *testing.T) {
+	is := is.New(t)
+	timing := testTiming
+	timing.Opening = 50 * time.Millisecond
+	r := newRelay(t, "127.0.0.1:1")
+	r.deaf.Store(true)
+	began := time.Now()
+	got := <-doAsync(newTimedPool(t, "k", timing), r.addr(), newRequest(nil))
+	var failure *Error
+	is.True(errors.As(got.err, &failure))
+	is.True(!failure.Sent)
+	is.True(time.Since(began) < handshakeTimeout)
+}
--- a/node/link/relay_test.go
+++ b/node/link/relay_test.go
@@ -10,6 +10,9 @@
 // relay passes TCP connections on. Those that are open when it freezes fall
 // silent for good in one or both directions; new ones work.
 type relay struct {
+	// deaf relays take new connections and pass nothing on.
+	deaf atomic.Bool
+
 	listener net.Listener
 	to       string
 
@@ -48,6 +51,12 @@
 		if err != nil {
 			return
 		}
+		if r.deaf.Load() {
+			r.mu.Lock()
+			r.pipes = append(r.pipes, &pipe{calling: calling, serving: calling, thawed: make(chan struct{})})
+			r.mu.Unlock()
+			continue
+		}
 		r.mu.Lock()
 		to := r.to
 		r.mu.Unlock()
--- a/node/link/stream.go
+++ b/node/link/stream.go
@@ -17,9 +17,11 @@
 type clientStream struct {
 	run     string
 	retries int
-	answer  chan *call.Answer
-	body    *body
-	credit  *credit
+	// repeatable requests may run more than once.
+	repeatable bool
+	answer     chan *call.Answer
+	body       *body
+	credit     *credit
 
 	lost     chan struct{} // closed when no answer will come; lostWhy is set
 	lostWhy  error
@@ -39,7 +41,7 @@
 
 func newClientStream(r *call.Request) *clientStream {
 	s := &clientStream{
-		run: r.Run, retries: r.Retries,
+		run: r.Run, retries: r.Retries, repeatable: r.Idempotent,
 		answer: make(chan *call.Answer, 1),
 		credit: newCredit(wire.InitialCredit),
 		lost:   make(chan struct{}),
@@ -88,6 +90,20 @@
 	l.end(id)
 }
 
+// abandon gives up a request that may run again elsewhere, if it is still on the
+// link that broke.
+func (s *clientStream) abandon(broken *Link, why error) {
+	s.mu.Lock()
+	orphan := s.link == broken && !s.answered
+	if orphan {
+		s.cancelled = true
+	}
+	s.mu.Unlock()
+	if orphan {
+		s.lose(why)
+	}
+}
+
 // lose ends the stream without a whole answer.
 func (s *clientStream) lose(why error) {
 	s.lostOnce.Do(func() {
--- a/node/link/timing.go
+++ b/node/link/timing.go
@@ -12,6 +12,15 @@
 	// Silence is the time without an answer to a ping after which a link is
 	// given up.
 	Silence time.Duration
+	// Doubt is the time without an answer to a ping after which a link takes no
+	// new requests until it is heard again; 0 for never.
+	Doubt time.Duration
+	// Opening bounds the wait of a call for a link that is being opened; 0 for no
+	// bound of its own.
+	Opening time.Duration
+	// Repeatable bounds the wait for a new link of requests that may run more
+	// than once, which are better sent elsewhere; 0 for no bound of their own.
+	Repeatable time.Duration
 	// Recovery bounds the time in which the calling side tries to open a new
 	// link for the calls of one that broke.
 	Recovery time.Duration
@@ -23,10 +32,15 @@
 // DefaultTiming returns the times for links between data centres.
 func DefaultTiming() Timing {
 	return Timing{
-		Heartbeat:     250 * time.Millisecond,
+		Heartbeat:     100 * time.Millisecond,
 		IdleHeartbeat: 10 * time.Second,
 		Silence:       750 * time.Millisecond,
-		Recovery:      10 * time.Second,
-		Keep:          30 * time.Second,
+		// Three round trips between regions.
+		Doubt:      120 * time.Millisecond,
+		// The handshake takes three round trips.
+		Opening:    300 * time.Millisecond,
+		Repeatable: 250 * time.Millisecond,
+		Recovery:   10 * time.Second,
+		Keep:       30 * time.Second,
 	}
 }
