--- a/core/admission/aged.go
+++ b/core/admission/aged.go
@@ -15,7 +15,7 @@
 	agedQueue = 12
 	// leastTarget is the least wait for a slot that is aimed at; below it chance
 	// alone makes the wait.
-	leastTarget = 20 * time.Millisecond
+	leastTarget = 35 * time.Millisecond
 )
 
 // offerAged asks for a slot of an upstream that announces its slots. Calls of a
--- a/core/route/load.go
+++ b/core/route/load.go
@@ -16,10 +16,11 @@
 	// that time a full upstream empties its queue.
 	loadMemory = time.Second
 	// regionDistance and farDistance are the waits that a call to another data
-	// centre, and to another region, must save: for the latter the round trip of
-	// 40 ms, for both the bytes that are paid for by volume.
-	regionDistance = 30 * time.Millisecond
-	farDistance    = 90 * time.Millisecond
+	// centre, and to another region, must save, since bytes on the way are paid
+	// for by volume. Both are below the wait at which an upstream's level begins to
+	// refuse (package admission): work goes a long way before it is refused.
+	regionDistance = 15 * time.Millisecond
+	farDistance    = 25 * time.Millisecond
 )
 
 // distance returns the wait that a call to a tier must save.
--- /dev/null
+++ b/lab/cmd/soak/main.go
@@ -0,0 +1,64 @@
+// Command soak runs daemons as processes under drawn faults and checks the
+// promises; see lab/soak.
+package main
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"fuchsiavane.org/lab/soak"
+)
+
+func main() { os.Exit(run()) }
+
+func run() int {
+	first := flag.Uint64("seed", 1, "first `seed`")
+	seeds := flag.Int("seeds", 1, "number of seeds, one after the other")
+	instances := flag.Int("instances", 6, "daemons")
+	callers := flag.Int("callers", 4, "clients at each daemon")
+	length := flag.Duration("length", 10*time.Second, "time in which faults come")
+	verbose := flag.Bool("v", false, "print the faults")
+	keep := flag.String("keep", "", "`folder` for the logs; a temporary one, removed after a good run, if empty")
+	flag.Parse()
+	status := 0
+	program := ""
+	for n := range *seeds {
+		seed := *first + uint64(n)
+		folder := filepath.Join(*keep, fmt.Sprint("seed-", seed))
+		if *keep == "" {
+			var err error
+			if folder, err = os.MkdirTemp("", "soak-"); err != nil {
+				fmt.Fprintln(os.Stderr, err)
+				return 1
+			}
+		} else if err := os.MkdirAll(folder, 0o700); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			return 1
+		}
+		report, err := soak.Run(soak.Config{Seed: seed, Instances: *instances, Callers: *callers, Length: *length, Folder: folder, Program: program})
+		if err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			return 1
+		}
+		fmt.Printf("seed %d: whole %d, refused %d, failed %d, cut %d, faults %d, broken %d\n",
+			seed, report.Whole, report.Refused, report.Failed, report.Cut, len(report.Faults), len(report.Broken))
+		if *verbose || len(report.Broken) > 0 {
+			for _, fault := range report.Faults {
+				fmt.Println("  ", fault)
+			}
+		}
+		for _, broken := range report.Broken {
+			fmt.Println("  BROKEN", broken)
+			status = 1
+		}
+		if len(report.Broken) > 0 {
+			fmt.Println("   logs in", folder)
+		} else if *keep == "" {
+			_ = os.RemoveAll(folder)
+		}
+	}
+	return status
+}
--- a/node/event/catalogue.go
+++ b/node/event/catalogue.go
@@ -36,6 +36,7 @@
 	RequestFailed      = Event{503, "request-failed", plog.WarnLevel, "A routed request ended with an answer of the system's own. refusal, outcome and detail give the cause; settings is the revision it was decided by."}
 	RequestRetried     = Event{504, "request-retried", plog.InfoLevel, "A routed request went to another peer. price says what it cost: free if no upstream had been sent it, else a retry of the budget."}
 	RequestHeld        = Event{505, "request-held", plog.InfoLevel, "A request got no slot at the upstream and was refused. The fields give the load that decided: what ran and waited, the limit, the part that the level lets through."}
+	LevelChanged       = Event{506, "level-changed", plog.InfoLevel, "The part of a rank's requests that the upstream's level lets through changed by more than a tenth. The fields give the load that decided."}
 	UpstreamNews       = Event{512, "upstream-news", plog.InfoLevel, "What the upstream beside this daemon said of itself changed: its instance, phase or slots."}
 	UpstreamNewsOld    = Event{513, "upstream-news-refused", plog.WarnLevel, "A heartbeat was malformed, older than what is known, or of another instance; it changed nothing."}
 	ProcessSettings    = Event{106, "process-settings-changed", plog.InfoLevel, "The file of process settings changed. The fields name what changed; it holds from the next start unless the line says otherwise."}
@@ -55,7 +56,7 @@
 		SettingsInForce, SettingsRefused, SettingsOlder,
 		LinkOpened, LinkClosed, LinkRefused, LinkMalformed, LinkNotOpened, LinkRecovered,
 		PeersChanged, MemberDead, MemberResumed, MemberSuperseded, CentreUnreachable, CentreReachable, MemberRefused,
-		RequestAnswered, RequestFailed, RequestRetried, RequestHeld, UpstreamNews, UpstreamNewsOld, ProcessSettings, LogLinesLost, LibraryLine,
+		RequestAnswered, RequestFailed, RequestRetried, RequestHeld, LevelChanged, UpstreamNews, UpstreamNewsOld, ProcessSettings, LogLinesLost, LibraryLine,
 		BadCallerInput, PlatformAway, PlatformBack,
 		ClaimsNotRefreshed, ClaimsNotReleased, UpstreamCrashed, RequestQuarantined,
 	}
--- a/node/link/timing.go
+++ b/node/link/timing.go
@@ -36,7 +36,7 @@
 		IdleHeartbeat: 10 * time.Second,
 		Silence:       750 * time.Millisecond,
 		// Three round trips between regions.
-		Doubt:      120 * time.Millisecond,
+		Doubt: 120 * time.Millisecond,
 		// The handshake takes three round trips.
 		Opening:    300 * time.Millisecond,
 		Repeatable: 250 * time.Millisecond,
--- a/node/upstream/gate.go
+++ b/node/upstream/gate.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"time"
 
@@ -36,6 +37,7 @@
 	slots      int // as the upstream announced them, 0 if it did not
 	configured time.Time
 	waiting    map[admission.Ticket]chan admission.Reason
+	told       []float64 // the part let through by rank, as last logged
 	// queued holds a token when a request began to wait since the last look.
 	queued chan struct{}
 }
@@ -225,12 +227,35 @@
 	defer g.mu.Unlock()
 	g.reconfigure(now)
 	g.deliver(g.controller.Expire(now))
+	g.logLevels(now)
 	if g.controller.Queued() > 0 {
 		return queuedInterval
 	}
 	return level.Interval
 }
 
+// toldChange is the change of the part let through that is logged.
+const toldChange = 0.1
+
+// logLevels writes a line for each rank whose level has changed. The caller holds
+// the lock.
+func (g *Gate) logLevels(now time.Time) {
+	ranks := g.settings.Current().Document.Ranks()
+	for len(g.told) < len(ranks) {
+		g.told = append(g.told, 1)
+	}
+	for i := range ranks {
+		pass := level.Pass(g.controller.Level(i))
+		if math.Abs(pass-g.told[i]) < toldChange && (pass < 1 || g.told[i] == 1) {
+			continue
+		}
+		g.told[i] = pass
+		g.log.Log(event.LevelChanged).Str("rank", ranks[i].Name).Float64("level_pass", pass).
+			Int("running", g.controller.InFlight()).Int("queued", g.controller.Queued()).Int("limit", g.controller.Limit(now)).
+			Int64("mean_run_ms", g.controller.MeanRun().Milliseconds()).Msg("level changed")
+	}
+}
+
 // Load returns the requests running and queued.
 func (g *Gate) Load() (running, queued int) {
 	g.mu.Lock()
