--- a/lab/mesh/mesh_test.go
+++ b/lab/mesh/mesh_test.go
@@ -34,13 +34,13 @@
 
 // fleet is a store with daemons.
 type fleet struct {
-	t     *testing.T
+	t     testing.TB
 	store *meshsim.Store
 	addr  netip.AddrPort
 	names atomic.Int64
 }
 
-func newFleet(t *testing.T) *fleet {
+func newFleet(t testing.TB) *fleet {
 	store := meshsim.NewStore()
 	server := httptest.NewServer(store)
 	t.Cleanup(server.Close)
@@ -64,7 +64,7 @@
 
 // instance is a daemon with its upstream.
 type instance struct {
-	t        *testing.T
+	t        testing.TB
 	settings platform.Settings
 	upstream *meshsim.Upstream
 	server   *httptest.Server
@@ -426,3 +426,30 @@
 	registry.run()
 	desk.await("again", "/x/1", status(200))
 }
+
+// BenchmarkCall measures a call over a link, with both daemons, the client and the
+// upstream in one process.
+func BenchmarkCall(b *testing.B) {
+	f := newFleet(b)
+	desk, _ := f.start("desk", "south-1"), f.start("registry", "south-1")
+	f.configure(1, route("/x/", "safe", "registry", 0))
+	desk.await("ready", "/x/1", status(200))
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16}}
+	b.ReportAllocs()
+	b.SetParallelism(4)
+	b.ResetTimer()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			r, _ := http.NewRequest(http.MethodGet, "http://"+desk.settings.Callers.String()+"/x/1", nil)
+			r.Host = "h.example"
+			r.Header.Set("X-Request-Id", fmt.Sprintf("%016x", ids.Add(1)))
+			r.Header.Set("X-Request-Deadline-Ms", "5000")
+			response, err := client.Do(r)
+			if err != nil {
+				b.Fatal(err)
+			}
+			_, _ = io.Copy(io.Discard, response.Body)
+			_ = response.Body.Close()
+		}
+	})
+}
--- a/node/event/async.go
+++ b/node/event/async.go
@@ -4,12 +4,17 @@
 	"io"
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
 // maxPendingBytes bounds the lines that wait to be written. Beyond half of it only
 // warnings and errors are taken.
 const maxPendingBytes = 1 << 20
 
+// writeInterval is the least time between two writes, so that many lines leave in
+// one.
+const writeInterval = 50 * time.Millisecond
+
 // AsyncWriter writes lines from a goroutine of its own, so that a reader that
 // stalls blocks nobody. Lines beyond its bound are dropped and counted: plain
 // news first, refusals and failures last.
@@ -21,13 +26,14 @@
 	pending []byte
 	spare   []byte
 	closed  bool
+	closing chan struct{} // closed by Close
 	wake    chan struct{}
 	done    chan struct{}
 }
 
 // NewAsyncWriter returns a writer to another one, which it owns until Close.
 func NewAsyncWriter(to io.Writer) *AsyncWriter {
-	w := &AsyncWriter{to: to, wake: make(chan struct{}, 1), done: make(chan struct{})}
+	w := &AsyncWriter{to: to, closing: make(chan struct{}), wake: make(chan struct{}, 1), done: make(chan struct{})}
 	go w.run()
 	return w
 }
@@ -77,13 +83,20 @@
 		if closed {
 			return
 		}
+		select {
+		case <-w.closing:
+		case <-time.After(writeInterval):
+		}
 	}
 }
 
 // Close writes what is pending and ends the goroutine.
 func (w *AsyncWriter) Close() {
 	w.mu.Lock()
-	w.closed = true
+	if !w.closed {
+		w.closed = true
+		close(w.closing)
+	}
 	w.mu.Unlock()
 	select {
 	case w.wake <- struct{}{}:
--- a/node/link/client.go
+++ b/node/link/client.go
@@ -56,8 +56,8 @@
 }
 
 // run reads until the link ends and returns why.
-func (l *Link) run() error {
-	go l.conn.heartbeat(l.timing, l.active)
+func (l *Link) run(b *beater) error {
+	b.add(l.conn, l.active)
 	l.conn.close(l.conn.read(l.handle))
 	return l.conn.reason()
 }
--- a/node/link/conn.go
+++ b/node/link/conn.go
@@ -182,42 +182,6 @@
 	return errors.Is(err, websocket.ErrReadLimit) || strings.HasPrefix(err.Error(), "websocket: ")
 }
 
-// heartbeat pings the connection and closes a silent one. It returns when the
-// connection ends. active reports whether calls are in progress.
-func (c *conn) heartbeat(timing Timing, active func() bool) {
-	ticker := time.NewTicker(timing.Heartbeat)
-	defer ticker.Stop()
-	var pinged time.Duration // since began; 0 if no ping waits for its answer
-	for {
-		select {
-		case <-c.done:
-			return
-		case <-ticker.C:
-		}
-		now := time.Since(c.began)
-		lastRead := time.Duration(c.lastRead.Load())
-		if lastRead > pinged {
-			pinged = 0
-		}
-		if pinged != 0 {
-			if timing.Doubt > 0 && now-pinged > timing.Doubt {
-				c.doubtful.Store(true)
-			}
-			if now-pinged > timing.Silence {
-				c.close(ErrSilent)
-				return
-			}
-			continue
-		}
-		idle := now - lastRead
-		busy := active()
-		if idle > timing.IdleHeartbeat || (busy && idle > timing.Heartbeat/2) {
-			pinged = now
-			c.post(&wire.Frame{Type: wire.TypePing})
-		}
-	}
-}
-
 // close ends the connection; the first reason is kept.
 func (c *conn) close(reason error) {
 	c.mu.Lock()
--- a/node/link/keeper.go
+++ b/node/link/keeper.go
@@ -24,6 +24,7 @@
 type keeper struct {
 	timing Timing
 	bulk   pacer // of the answers on bulk links
+	beater *beater
 
 	mu       sync.Mutex
 	sessions map[string]*serving
@@ -50,6 +51,7 @@
 	return &keeper{
 		timing:   timing,
 		bulk:     pacer{rate: bulkRate},
+		beater:   newBeater(timing),
 		sessions: map[string]*serving{},
 		runs:     map[string]*serverStream{},
 		finished: list.New(),
--- a/node/link/pool.go
+++ b/node/link/pool.go
@@ -36,6 +36,7 @@
 	timing   Timing
 	log      *event.Logger
 	bulk     pacer // of the answers on bulk links
+	beater   *beater
 
 	mu     sync.Mutex
 	links  map[target]*pooled
@@ -70,7 +71,7 @@
 
 // NewPool returns a Pool.
 func NewPool(identity Identity, timing Timing, log *event.Logger) *Pool {
-	return &Pool{identity: identity, timing: timing, log: log, bulk: pacer{rate: bulkRate}, links: map[target]*pooled{}, done: make(chan struct{})}
+	return &Pool{identity: identity, timing: timing, log: log, bulk: pacer{rate: bulkRate}, beater: newBeater(timing), links: map[target]*pooled{}, done: make(chan struct{})}
 }
 
 // Do sends a request to the daemon at a peer address. The error is an *Error.
@@ -144,7 +145,7 @@
 		return
 	}
 	p.log.Log(event.LinkOpened).Str("addr", t.addr).Str("class", string(t.class)).Msg("link opened")
-	reason := link.run()
+	reason := link.run(p.beater)
 	p.remove(t, entry)
 	p.log.Log(event.LinkClosed).Str("addr", t.addr).Str("class", string(t.class)).Err(reason).Msg("link closed")
 	p.recover(t, link, reason)
--- a/node/upstream/gate.go
+++ b/node/upstream/gate.go
@@ -20,6 +20,10 @@
 // queuedInterval is the pause between looks at the queue while requests wait.
 const queuedInterval = 5 * time.Millisecond
 
+// agedInterval is the same for an upstream that announces its slots, where
+// requests wait until their deadline and not for a short time of their own.
+const agedInterval = 20 * time.Millisecond
+
 // announcedPart is the part of the slots that an upstream announces that is
 // used: one that has every slot taken may slow down.
 const announcedPart = 0.95
@@ -229,6 +233,9 @@
 	g.deliver(g.controller.Expire(now))
 	g.logLevels(now)
 	if g.controller.Queued() > 0 {
+		if g.slots > 0 {
+			return agedInterval
+		}
 		return queuedInterval
 	}
 	return level.Interval
