--- a/node/event/event.go
+++ b/node/event/event.go
@@ -4,6 +4,8 @@
 
 import (
 	"io"
+	"sync/atomic"
+	"time"
 
 	plog "github.com/phuslu/log"
 )
@@ -21,11 +23,12 @@
 // Logger writes events as JSON lines. It is safe for concurrent use.
 type Logger struct {
 	logger plog.Logger
+	often  rate
 }
 
 // New returns a Logger that writes events of at least the given level.
 func New(w io.Writer, level plog.Level, instance string) *Logger {
-	return &Logger{plog.Logger{
+	return &Logger{logger: plog.Logger{
 		Level:   level,
 		Writer:  levelWriter{w},
 		Context: plog.NewContext(nil).Str("instance", instance).Value(),
@@ -51,6 +54,42 @@
 // Discard returns a Logger that writes nothing.
 func Discard() *Logger { return New(io.Discard, plog.PanicLevel, "") }
 
+// oftenPerSecond bounds the lines of LogOften in one second: what an idle reader
+// takes in without falling behind, and a small part of a core to write.
+const oftenPerSecond = 100
+
+// LogOften is Log for an event that may come with every request. Beyond
+// oftenPerSecond it returns nil and the line is counted.
+func (l *Logger) LogOften(e Event) *plog.Entry {
+	if !l.often.allow(time.Now()) {
+		return nil
+	}
+	return l.Log(e)
+}
+
+// Suppressed returns the lines that LogOften did not write.
+func (l *Logger) Suppressed() uint64 { return l.often.denied.Load() }
+
+// rate counts the lines of one second. It is safe for concurrent use; a few more
+// may pass where a second ends.
+type rate struct {
+	second, count atomic.Int64
+	denied        atomic.Uint64
+}
+
+func (r *rate) allow(now time.Time) bool {
+	second := now.Unix()
+	if r.second.Load() != second {
+		r.second.Store(second)
+		r.count.Store(0)
+	}
+	if r.count.Add(1) > oftenPerSecond {
+		r.denied.Add(1)
+		return false
+	}
+	return true
+}
+
 // Log starts an entry for an event; the caller adds fields and ends it with
 // Msg. The entry is nil, and safe to use, if the level is not logged.
 func (l *Logger) Log(e Event) *plog.Entry {
--- a/node/gateway/routed.go
+++ b/node/gateway/routed.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	plog "github.com/phuslu/log"
 	"github.com/pkg/errors"
 
 	"fuchsiavane.org/core/level"
@@ -21,6 +22,9 @@
 type Dialect interface {
 	// Head reads the header of a request.
 	Head(r *http.Request) (Head, error)
+	// Strip removes the headers that the upstream's dialect sets anew, so that they
+	// don't cross links.
+	Strip(h http.Header)
 	// WriteRefusal writes an answer that the system makes itself.
 	WriteRefusal(w http.ResponseWriter, a *call.Answer)
 }
@@ -95,11 +99,13 @@
 	if err != nil {
 		return nil, badRequest(err)
 	}
+	header := forwardHeader(r.Header)
+	g.Dialect.Strip(header)
 	target := route.Choose(rand.Float64())
 	values := target.Values()
 	request := &call.Request{
 		ID: head.ID, Label: head.ID, Service: target.Service, Host: r.Host, Method: r.Method,
-		Target: r.RequestURI, Path: route.Prefix, Header: forwardHeader(r.Header), Body: body,
+		Target: r.RequestURI, Path: route.Prefix, Header: header, Body: body,
 		Caller: head.Caller, Rank: values.Rank, Idempotent: values.IsIdempotent(r.Method),
 		Deadline: now.Add(allowed(head.Timeout, values.Timeout)), Objective: objective(now, &values),
 	}
@@ -150,11 +156,14 @@
 
 // logEnd writes the line of a request that has ended, or whose answer begins.
 func (g *Gateway) logEnd(r *call.Request, a *call.Answer, took time.Duration) {
-	message := "request answered"
-	line := g.Log.Log(event.RequestAnswered)
-	if a.Refusal != call.RefusedNone {
-		message = "request failed"
-		line = g.Log.Log(event.RequestFailed)
+	message, line := "request answered", (*plog.Entry)(nil)
+	if a.Refusal == call.RefusedNone {
+		line = g.Log.LogOften(event.RequestAnswered)
+	} else {
+		message, line = "request failed", g.Log.Log(event.RequestFailed)
+	}
+	if line == nil {
+		return
 	}
 	line.Str("request", r.Label).Str("root", r.ID).Str("service", r.Service).Str("path", r.Path).Str("rank", r.Rank).
 		Int("status", a.Status).Str("outcome", string(a.Outcome)).Int64("took_ms", took.Milliseconds()).
