A late heartbeat does not bring back an upstream that left before the first one

The daemon had just been restarted; the leaving named an instance that it had not heard of, so its birth was not known, and a heartbeat of 2.8 s before came late and counted as new. Ruled out: the wait for a slot (the requests entered after the heartbeat, 26.909 s, event 512 with sequence 14). Change: after a departure of unknown birth only a heartbeat with the count of a new start, or one after 30 s, makes the instance usable. Shown: TestLeavingBeforeTheFirstHeartbeat, which fails without the change (the heartbeat is taken); TestLeftInstanceOfAnother.

--- a/node/presence/presence.go
+++ b/node/presence/presence.go
@@ -59,6 +59,35 @@
 	ColdUntil time.Time
 }
 
+// departure is what is known of an incarnation that leaves.
+type departure struct {
+	at time.Time
+	// born is its birth, if known: a daemon that was started a moment ago may hear
+	// of the departure before it hears any heartbeat.
+	born  int64
+	known bool
+}
+
+const (
+	// departedFor is the time in which a heartbeat of an instance whose departed
+	// incarnation is not known counts as late, since heartbeats come seconds late.
+	departedFor = 30 * time.Second
+	// freshSequence is the highest sequence of a heartbeat that shows a new start
+	// in that time, since counts start anew.
+	freshSequence = 2
+)
+
+// overrules reports whether a heartbeat is older news than the departure.
+func (d *departure) overrules(now time.Time, b Beat) bool {
+	if b.Phase == PhaseDraining {
+		return false
+	}
+	if d.known {
+		return b.Born <= d.born
+	}
+	return b.Sequence > freshSequence && now.Sub(d.at) < departedFor
+}
+
 // Errors of Beat and Leave.
 var (
 	// ErrStale means that newer news of the upstream is known.
@@ -73,9 +102,8 @@
 
 	mu    sync.Mutex
 	state State
-	// left names the incarnations that have said that they leave, by instance;
-	// the value is their birth.
-	left    map[string]int64
+	// left holds the incarnations that have said that they leave, by instance.
+	left    map[string]departure
 	changed chan struct{}
 }
 
@@ -85,7 +113,7 @@
 	return &Presence{
 		interval: interval,
 		state:    State{Beat: Beat{Phase: PhaseAbsent}},
-		left:     map[string]int64{},
+		left:     map[string]departure{},
 		changed:  make(chan struct{}, 1),
 	}
 }
@@ -101,11 +129,11 @@
 func (p *Presence) Beat(now time.Time, b Beat) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.older(b) {
+	if p.older(now, b) {
 		return ErrStale
 	}
 	if b.Phase == PhaseDraining {
-		p.remember(b.Instance, b.Born)
+		p.remember(b.Instance, departure{now, b.Born, true})
 	}
 	changed := b.Instance != p.state.Instance || b.Phase != p.state.Phase || b.Slots != p.state.Slots || b.Born != p.state.Born
 	p.state = State{Beat: b, At: now, ColdUntil: now.Add(b.Cold)}
@@ -117,8 +145,8 @@
 
 // older reports whether a heartbeat is older news than what is known. The
 // caller holds the lock.
-func (p *Presence) older(b Beat) bool {
-	if born, gone := p.left[b.Instance]; gone && b.Phase != PhaseDraining && b.Born <= born {
+func (p *Presence) older(now time.Time, b Beat) bool {
+	if d, gone := p.left[b.Instance]; gone && d.overrules(now, b) {
 		return true
 	}
 	known := &p.state.Beat
@@ -135,23 +163,26 @@
 const maxLeft = 64
 
 // remember notes an incarnation that leaves. The caller holds the lock.
-func (p *Presence) remember(instance string, born int64) {
+func (p *Presence) remember(instance string, d departure) {
+	if p.left[instance].known && !d.known {
+		return // says less than what is known
+	}
 	if len(p.left) >= maxLeft {
 		clear(p.left)
 	}
-	p.left[instance] = born
+	p.left[instance] = d
 }
 
 // Leave takes in that an instance ends. It returns ErrOther if that is not the
 // upstream beside this daemon.
-func (p *Presence) Leave(instance string) error {
+func (p *Presence) Leave(now time.Time, instance string) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.state.Instance != instance {
-		p.remember(instance, p.state.Born)
+		p.remember(instance, departure{at: now})
 		return ErrOther
 	}
-	p.remember(instance, p.state.Born)
+	p.remember(instance, departure{now, p.state.Born, true})
 	p.state.Phase = PhaseAbsent
 	p.announce()
 	return nil
--- a/node/presence/presence_test.go
+++ b/node/presence/presence_test.go
@@ -43,13 +43,13 @@
 	now := time.Unix(1000, 0)
 	p := New(interval)
 	is.NoErr(p.Beat(now, beat("a", 1, 1, PhaseReady)))
-	is.NoErr(p.Leave("a"))
+	is.NoErr(p.Leave(now, "a"))
 	is.Equal(p.Now(now).Phase, PhaseAbsent)
 	is.Equal(p.Beat(now, beat("a", 1, 2, PhaseReady)), ErrStale)
 	is.Equal(p.Now(now).Phase, PhaseAbsent)
 	is.NoErr(p.Beat(now, beat("a", 5, 1, PhaseReady)))
 	is.Equal(p.Now(now).Phase, PhaseReady)
-	is.Equal(p.Leave("other"), ErrOther)
+	is.Equal(p.Leave(now, "other"), ErrOther)
 	is.Equal(p.Now(now).Phase, PhaseReady)
 }
 
@@ -74,3 +74,32 @@
 	is.NoErr(p.Beat(now, beat("a", 1, 2, PhaseReady)))
 	is.Equal(p.Now(now).Phase, PhaseReady)
 }
+
+// TestLeavingBeforeTheFirstHeartbeat plays a daemon that was just started when its
+// upstream says that it leaves: a heartbeat that was sent before and comes late
+// must not make the upstream usable, and its next start must. Incident inc-61da of
+// alrrm-mesh.
+func TestLeavingBeforeTheFirstHeartbeat(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	p := New(interval)
+	is.Equal(p.Leave(now, "a"), ErrOther)
+	late := now.Add(2800 * time.Millisecond)
+	is.Equal(p.Beat(late, beat("a", 7, 14, PhaseReady)), ErrStale)
+	is.Equal(p.Now(late).Phase, PhaseAbsent)
+	is.NoErr(p.Beat(late, beat("a", 8, 1, PhaseReady)))
+	is.Equal(p.Now(late).Phase, PhaseReady)
+}
+
+// TestLeftInstanceOfAnother: news that some other instance leaves says nothing of
+// when it was born.
+func TestLeftInstanceOfAnother(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	p := New(interval)
+	is.NoErr(p.Beat(now, beat("a", 5, 1, PhaseReady)))
+	is.Equal(p.Leave(now, "b"), ErrOther)
+	is.Equal(p.Beat(now, beat("b", 9, 30, PhaseReady)), ErrStale)
+	is.Equal(p.Now(now).Instance, "a")
+	is.NoErr(p.Beat(now.Add(departedFor), beat("b", 9, 50, PhaseReady)))
+}
