The cases of the spill test follow the distances

Change: the queues of three cases lie on the same sides of the new distances, and the bound on the split of a burst is tightened from 7 to 4 requests by the same reasoning (15 ms are 3 requests).

--- a/core/route/load_test.go
+++ b/core/route/load_test.go
@@ -32,9 +32,9 @@
 	}{
 		{"all idle", 0, 0, 0, "south-1"},
 		{"near busy, without a queue", 15, 0, 0, "south-1"},
-		{"near has a short queue", 20, 0, 0, "south-1"},
-		{"near has a queue that outlasts the way", 24, 0, 0, "south-2"},
-		{"region is full too, far is not worth it", 32, 30, 15, "south-1"},
+		{"near has a queue that is shorter than the way", 17, 0, 0, "south-1"},
+		{"near has a queue that outlasts the way", 20, 0, 0, "south-2"},
+		{"region is full too, far is not worth it", 19, 18, 16, "south-1"},
 		{"all but far are overloaded", 40, 40, 0, "north-1"},
 		{"all are overloaded alike", 60, 60, 60, "south-1"},
 	} {
@@ -57,9 +57,9 @@
 		choice, _ := p.Pick(start, Query{Service: "s", Far: true}, newRandom())
 		went[choice.DataCentre]++
 	}
-	// 30 ms of waiting are 6 requests, at 80 ms each on 16 slots.
+	// 15 ms of waiting are 3 requests, at 80 ms each on 16 slots.
 	is := is.New(t)
-	is.True(went["south-1"]-went["south-2"] <= 7)
+	is.True(went["south-1"]-went["south-2"] <= 4)
 	is.True(went["south-2"] > 0)
 	is.True(went["north-1"] > 0)
 }
