--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -3,7 +3,9 @@
 // A Controller joins three decisions: an adaptive limit bounds the requests that
 // run (package limit); ranks share the slots by floor shares and urgency, with a
 // short queue for each rank; and levels refuse at once, by a hash of the request
-// id, what would be refused anyway (package level). It is a pure state machine:
+// id, what would be refused anyway (package level). An upstream that announces its
+// slots needs no adaptive limit: there requests get slots by age, and levels follow
+// the wait for slots (aged.go). A Controller is a pure state machine:
 // time comes in as an argument, and grants come out as values. A Controller is
 // not safe for concurrent use; the caller holds a lock around each call.
 package admission
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -1,7 +1,7 @@
 // Package route chooses the peer that serves a call.
 //
 // A Picker prefers the own data centre, then the own region, then the other
-// regions. In a tier it uses a bounded subset of the peers, takes two at random
+// regions, unless a farther peer saves enough waiting (load.go). In a tier it uses a bounded subset of the peers, takes two at random
 // and calls the one that costs less: calls in flight, recent latency, failures
 // and refusals, all as this daemon itself has seen them. Peers that fail while
 // others don't are ejected for a while, up to a part of the service.
--- a/node/event/catalogue.go
+++ b/node/event/catalogue.go
@@ -30,7 +30,7 @@
 	CentreUnreachable  = Event{405, "data-centre-unreachable", plog.ErrorLevel, "A data centre does not answer. Its instances are kept and used again when it answers."}
 	CentreReachable    = Event{406, "data-centre-reachable", plog.InfoLevel, "A data centre answers again."}
 	MemberRefused      = Event{407, "member-refused", plog.WarnLevel, "A membership message did not prove the link key, or came from outside loopback without one. Give all daemons the same -link-key. At most one line a minute."}
-	BadCallerInput     = Event{501, "request-malformed", plog.InfoLevel, "A caller's request was malformed and refused."}
+	BadCallerInput     = Event{501, "request-malformed", plog.InfoLevel, "A caller's request was refused before it was called: it was malformed, no route of the settings matches it, or no settings are in force. detail says which."}
 	LibraryLine        = Event{108, "library-line", plog.WarnLevel, "A line that a library wrote, such as net/http's on bytes that an upstream sent after a whole answer; the connection was closed."}
 	RequestAnswered    = Event{502, "request-answered", plog.InfoLevel, "An upstream's answer to a routed request began."}
 	RequestFailed      = Event{503, "request-failed", plog.WarnLevel, "A routed request ended with an answer of the system's own. refusal, outcome and detail give the cause; settings is the revision it was decided by."}
--- a/node/gateway/routed.go
+++ b/node/gateway/routed.go
@@ -50,11 +50,14 @@
 
 func (g *Gateway) handleRouted(w http.ResponseWriter, r *http.Request) {
 	began := time.Now()
-	p, refusal := g.prepareRouted(r, began)
+	head, err := g.Dialect.Head(r)
+	if err != nil {
+		g.refuseHead(w, r, &head, badRequest(err))
+		return
+	}
+	p, refusal := g.prepareRouted(r, &head, began)
 	if refusal != nil {
-		g.Log.Log(event.BadCallerInput).Str("request", r.Header.Get("X-Request-Id")).Str("host", r.Host).Str("path", r.URL.Path).
-			Str("refusal", string(refusal.Refusal)).Str("detail", refusal.Detail).Uint64("settings", g.Settings.Current().Revision).Msg("request refused")
-		g.Dialect.WriteRefusal(w, refusal)
+		g.refuseHead(w, r, &head, refusal)
 		return
 	}
 	answer := g.callAdmitted(p)
@@ -75,16 +78,20 @@
 	writeBody(w, answer)
 }
 
+// refuseHead answers a request that can't be called.
+func (g *Gateway) refuseHead(w http.ResponseWriter, r *http.Request, head *Head, refusal *call.Answer) {
+	if g.Settings.Current().Revision == 0 {
+		refusal = call.Refuse(call.NotRun, call.RefusedNoSettings, "no settings are in force yet")
+	}
+	g.Log.Log(event.BadCallerInput).Str("request", head.ID).Str("host", r.Host).Str("path", r.URL.Path).
+		Str("refusal", string(refusal.Refusal)).Str("detail", refusal.Detail).
+		Uint64("settings", g.Settings.Current().Revision).Msg("request refused")
+	g.Dialect.WriteRefusal(w, refusal)
+}
+
 // prepareRouted finds the route of a request and the service that it goes to.
-func (g *Gateway) prepareRouted(r *http.Request, now time.Time) (*prepared, *call.Answer) {
+func (g *Gateway) prepareRouted(r *http.Request, head *Head, now time.Time) (*prepared, *call.Answer) {
 	inForce := g.Settings.Current()
-	if inForce.Revision == 0 {
-		return nil, call.Refuse(call.NotRun, call.RefusedNoSettings, "no settings are in force yet")
-	}
-	head, err := g.Dialect.Head(r)
-	if err != nil {
-		return nil, badRequest(err)
-	}
 	if err := checkSize(r); err != nil {
 		return nil, badRequest(err)
 	}
