Idempotent requests outlive a slow reopening of their link

A link between regions takes 160 ms and a pause to reopen. Change: 1.2 s in place of 250 ms. Shown: TestIdempotentRequestOutlivesASlowReopening, which fails at 250 ms.

--- a/node/link/recovery_test.go
+++ b/node/link/recovery_test.go
@@ -321,3 +321,31 @@
 	is.True(!failure.Sent)
 	is.True(time.Since(began) < handshakeTimeout)
 }
+
+// TestIdempotentRequestOutlivesASlowReopening: a link breaks and opens again half a
+// second later, as between regions beside a planned stop. The peer runs the request
+// all the while, and its answer must arrive: day crash-and-silence of tpwax-mesh,
+// seed 864701386072.
+func TestIdempotentRequestOutlivesASlowReopening(t *testing.T) {
+	is := is.New(t)
+	server := newHeld([]byte("whole"))
+	p := newPeer(t, "k", server)
+	r := newRelay(t, p.addr())
+	request := newRequest(nil)
+	request.Idempotent = true
+	done := doAsync(newTimedPool(t, "k", DefaultTiming()), r.addr(), request)
+	<-server.begun
+	r.mu.Lock()
+	r.to = "127.0.0.1:1"
+	r.mu.Unlock()
+	r.cut()
+	time.Sleep(500 * time.Millisecond)
+	r.mu.Lock()
+	r.to = p.addr()
+	r.mu.Unlock()
+	close(server.release)
+	got := <-done
+	is.NoErr(got.err)
+	is.Equal(content(t, got.answer), "whole")
+	is.Equal(server.runs.Load(), int64(1))
+}
--- a/node/link/timing.go
+++ b/node/link/timing.go
@@ -38,8 +38,9 @@
 		// Three round trips between regions.
 		Doubt: 120 * time.Millisecond,
 		// The handshake takes three round trips.
-		Opening:    300 * time.Millisecond,
-		Repeatable: 250 * time.Millisecond,
+		Opening: 300 * time.Millisecond,
+		// Several tries to open a link between regions, each 160 ms with its pause.
+		Repeatable: 1200 * time.Millisecond,
 		Recovery:   10 * time.Second,
 		Keep:       30 * time.Second,
 	}
