No 404 for a request that crosses the first settings

Cause: the last read: a request was resolved by one look at the settings and its refusal by a second; with the first settings taking force between them, no route of the empty document became 404 in place of 503. Change: one look decides. A request without an id gets 400 also before that. Shown: lab/mesh, TestRequests and TestRestart. The race itself has no test.

--- a/node/gateway/routed.go
+++ b/node/gateway/routed.go
@@ -80,9 +80,6 @@
 
 // refuseHead answers a request that can't be called.
 func (g *Gateway) refuseHead(w http.ResponseWriter, r *http.Request, head *Head, refusal *call.Answer) {
-	if g.Settings.Current().Revision == 0 {
-		refusal = call.Refuse(call.NotRun, call.RefusedNoSettings, "no settings are in force yet")
-	}
 	g.Log.Log(event.BadCallerInput).Str("request", head.ID).Str("host", r.Host).Str("path", r.URL.Path).
 		Str("refusal", string(refusal.Refusal)).Str("detail", refusal.Detail).
 		Uint64("settings", g.Settings.Current().Revision).Msg("request refused")
@@ -92,6 +89,9 @@
 // prepareRouted finds the route of a request and the service that it goes to.
 func (g *Gateway) prepareRouted(r *http.Request, head *Head, now time.Time) (*prepared, *call.Answer) {
 	inForce := g.Settings.Current()
+	if inForce.Revision == 0 {
+		return nil, call.Refuse(call.NotRun, call.RefusedNoSettings, "no settings are in force yet")
+	}
 	if err := checkSize(r); err != nil {
 		return nil, badRequest(err)
 	}
