--- a/core/settings/routes.go
+++ b/core/settings/routes.go
@@ -38,10 +38,6 @@
 // Values returns the settings of a request that goes to the target.
 func (t *Target) Values() Values { return t.values }
 
-// Targets returns the services that the route sends requests to, in the order of
-// their names.
-func (r *Route) Targets() []Target { return r.targets }
-
 // Choose returns the target for a uniform draw from [0, 1).
 func (r *Route) Choose(draw float64) *Target {
 	left := draw * r.total
@@ -72,9 +68,6 @@
 	return nil
 }
 
-// HasRoutes reports whether the document selects requests by host and prefix.
-func (d *Document) HasRoutes() bool { return len(d.routes) > 0 }
-
 func (c *checker) routes(n *jsontree.Node) map[routeKey]*Route {
 	if !c.want(n, jsontree.Array) {
 		return nil
