Links ping less; a short outage ends soon; a flaky test traced

Change: the calling side pings after 200 ms without a frame, the serving side after 1 s, since answers to other calls stand for pings. Cause 2: TestIdempotentRequestOutlivesASlowReopening failed 2 of 24 runs: two pauses, each doubling, stood one inside the other, so that the first dial after an outage of 0.5 s could come after 1.2 s. Change: pauses grow by half, and those who wait look every 20 ms.

--- a/node/link/beater.go
+++ b/node/link/beater.go
@@ -19,8 +19,10 @@
 
 // beat is what the beater knows of one connection.
 type beat struct {
-	// active reports whether calls are in progress.
+	// active reports whether calls are in progress, and quiet is the silence after
+	// which a ping is sent then.
 	active func() bool
+	quiet  time.Duration
 	// pinged is when a ping that has no answer yet was sent, since the
 	// connection began; 0 if there is none.
 	pinged time.Duration
@@ -30,11 +32,12 @@
 	return &beater{timing: timing, conns: map[*conn]*beat{}}
 }
 
-// add looks after a connection until it ends.
-func (b *beater) add(c *conn, active func() bool) {
+// add looks after a connection until it ends. While active reports calls in
+// progress, it pings after the given time without a frame.
+func (b *beater) add(c *conn, quiet time.Duration, active func() bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.conns[c] = &beat{active: active}
+	b.conns[c] = &beat{active: active, quiet: quiet}
 	if len(b.conns) == 1 {
 		go b.run()
 	}
@@ -84,10 +87,13 @@
 		}
 		return
 	}
-	idle := now - lastRead
-	busy := state.active()
-	if idle > timing.IdleHeartbeat || (busy && idle > timing.Heartbeat/2) {
+	if state.due(timing, now-lastRead, state.active()) {
 		state.pinged = now
 		c.post(&wire.Frame{Type: wire.TypePing})
 	}
 }
+
+// due reports whether a connection is pinged that has been idle for a time.
+func (b *beat) due(timing Timing, idle time.Duration, busy bool) bool {
+	return idle > timing.IdleHeartbeat || (busy && idle > b.quiet)
+}
--- a/node/link/link_test.go
+++ b/node/link/link_test.go
@@ -27,6 +27,8 @@
 // testTiming makes links notice silence soon.
 var testTiming = Timing{
 	Heartbeat:     50 * time.Millisecond,
+	Quiet:         25 * time.Millisecond,
+	ServingQuiet:  25 * time.Millisecond,
 	IdleHeartbeat: time.Second,
 	Silence:       300 * time.Millisecond,
 	Recovery:      10 * time.Second,
@@ -37,6 +39,8 @@
 // too busy to answer a heartbeat in time.
 var calmTiming = Timing{
 	Heartbeat:     time.Second,
+	Quiet:         500 * time.Millisecond,
+	ServingQuiet:  500 * time.Millisecond,
 	IdleHeartbeat: time.Second,
 	Silence:       patience,
 	Recovery:      10 * time.Second,
--- a/node/link/pool.go
+++ b/node/link/pool.go
@@ -21,9 +21,13 @@
 
 const (
 	// minBackoff and maxBackoff bound the pause after a dial that failed. The
-	// pause doubles with each failure in a row and is spread by jitter.
+	// pause grows by half with each failure in a row and is spread by jitter, so
+	// that a peer which comes back is found in a part of the time it was away.
 	minBackoff = 50 * time.Millisecond
 	maxBackoff = 2 * time.Second
+	// reopenInterval is the pause between looks for a new link that the requests of
+	// a broken one wait for.
+	reopenInterval = 20 * time.Millisecond
 	// forgetFailures is the time after which a failed dial no longer lengthens
 	// the pause.
 	forgetFailures = 30 * time.Second
@@ -172,10 +176,22 @@
 
 // backoff returns the pause after a number of earlier failures in a row.
 func backoff(failures int) time.Duration {
-	pause := min(minBackoff<<min(failures, 10), maxBackoff)
+	pause := mostBackoff(failures)
 	return pause/2 + rand.N(pause/2)
 }
 
+// mostBackoff returns the longest pause after a number of earlier failures in a row.
+func mostBackoff(failures int) time.Duration {
+	pause := minBackoff
+	for range failures {
+		pause += pause / 2
+		if pause >= maxBackoff {
+			return maxBackoff
+		}
+	}
+	return pause
+}
+
 // sleep waits and reports false if done was closed first.
 func sleep(done <-chan struct{}, d time.Duration) bool {
 	timer := time.NewTimer(d)
@@ -236,7 +252,7 @@
 
 // reopen returns a new link.
 func (p *Pool) reopen(ctx context.Context, t target) (*Link, error) {
-	for attempt := 0; ; attempt++ {
+	for {
 		link, err := p.get(ctx, t)
 		if err == nil && !link.isBroken() {
 			return link, nil
@@ -244,7 +260,7 @@
 		if ctx.Err() != nil || errors.Is(err, ErrClosed) || errors.Is(err, syscall.ECONNREFUSED) {
 			return nil, err
 		}
-		if !sleep(p.done, backoff(attempt)) {
+		if !sleep(p.done, reopenInterval) {
 			return nil, ErrClosed
 		}
 	}
--- a/node/link/recovery_test.go
+++ b/node/link/recovery_test.go
@@ -349,3 +349,14 @@
 	is.Equal(content(t, got.answer), "whole")
 	is.Equal(server.runs.Load(), int64(1))
 }
+
+// TestShortOutagesEndSoon: after half a second in which every dial failed the next one
+// comes, with the longest pauses, while idempotent requests still wait for the link.
+func TestShortOutagesEndSoon(t *testing.T) {
+	const outage, dialTime = 500 * time.Millisecond, 160 * time.Millisecond
+	next := time.Duration(0)
+	for failures := 0; next < outage; failures++ {
+		next += mostBackoff(failures) + reopenInterval
+	}
+	is.New(t).True(next+dialTime <= DefaultTiming().Repeatable)
+}
--- a/node/link/timing.go
+++ b/node/link/timing.go
@@ -4,9 +4,14 @@
 
 // Timing is the times by which links judge their peers.
 type Timing struct {
-	// Heartbeat is the pause between pings while a call waits, and between
-	// looks at the link.
+	// Heartbeat is the pause between looks at the link.
 	Heartbeat time.Duration
+	// Quiet is the time without a frame from the other side after which a ping is
+	// sent while a call is in progress. Answers to other calls stand for pings.
+	Quiet time.Duration
+	// ServingQuiet is the same for the serving side, which has nothing to send
+	// elsewhere: it only ends what a lost caller left behind.
+	ServingQuiet time.Duration
 	// IdleHeartbeat is the pause between pings while no call is in progress.
 	IdleHeartbeat time.Duration
 	// Silence is the time without an answer to a ping after which a link is
@@ -32,7 +37,11 @@
 // DefaultTiming returns the times for links between data centres.
 func DefaultTiming() Timing {
 	return Timing{
-		Heartbeat:     100 * time.Millisecond,
+		Heartbeat: 100 * time.Millisecond,
+		// With Doubt and a look, a silent peer is left after 0.4 s at most. A ping
+		// costs as much as a small call, so that busy links send none.
+		Quiet:         200 * time.Millisecond,
+		ServingQuiet:  time.Second,
 		IdleHeartbeat: 10 * time.Second,
 		Silence:       750 * time.Millisecond,
 		// Three round trips between regions.
