Connections to the upstream are the daemon's own

Cause: net/http's transport took two goroutines and four hand-overs for each request, which are a good part of the processor time that binds on the grown sites. Change: node/upstream keeps its connections: the exchange runs on the call's goroutine, net/http only codes and decodes. Before a kept connection is used it is looked at: one with bytes on it, or at its end, is closed. Listening ports set no keep-alive. Shown: node/upstream/exchange_test.go.

--- a/node/daemon/ports.go
+++ b/node/daemon/ports.go
@@ -82,7 +82,10 @@
 }
 
 func open(name, addr string, handler http.Handler) (*port, error) {
-	tcp, err := net.Listen("tcp", addr)
+	// Keep-alive probes are off: idleTimeout ends what a lost client left, and each
+	// probe setting is a system call for each connection.
+	config := net.ListenConfig{KeepAlive: -1}
+	tcp, err := config.Listen(context.Background(), "tcp", addr)
 	if err != nil {
 		return nil, errors.Wrapf(err, "%s port", name)
 	}
--- a/node/upstream/dialect.go
+++ b/node/upstream/dialect.go
@@ -1,7 +1,6 @@
 package upstream
 
 import (
-	"net"
 	"net/http"
 	"time"
 
@@ -75,21 +74,21 @@
 
 // judge returns nil for the upstream's answer to the request. Otherwise it has
 // closed the answer, with its connection if that is out of step.
-func (u *Runner) judge(r *call.Request, response *http.Response, conn net.Conn, instance string) error {
-	verdict := u.dialect.Judge(r, response)
+func (u *Runner) judge(r *call.Request, e *exchange, instance string) error {
+	verdict := u.dialect.Judge(r, e.response)
 	if verdict == VerdictRan {
 		return nil
 	}
 	if verdict == VerdictForeign {
-		_ = conn.Close() // else the transport would use it again after an empty answer
+		e.abandon()
+		return errForeign
 	}
-	_ = response.Body.Close()
+	_ = e.response.Body.Close()
 	switch verdict {
 	case VerdictMisdirected:
 		u.presence.Misdirected(instance)
 		return &shedError{call.RefusedNoUpstream, "another upstream has the address", 0}
 	case VerdictShed:
-		return &shedError{call.RefusedShed, "the upstream refused the request", shedRetryAfter}
 	}
-	return errForeign
+	return &shedError{call.RefusedShed, "the upstream refused the request", shedRetryAfter}
 }
--- /dev/null
+++ b/node/upstream/exchange.go
@@ -0,0 +1,222 @@
+package upstream
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"fuchsiavane.org/node/call"
+)
+
+// exchange is one request on a connection to the upstream.
+type exchange struct {
+	ctx  context.Context
+	conn *conn
+	// stop ends the watch over the context; it reports false if the context ended
+	// first.
+	stop func() bool
+	// writing gets the result of a write that goes on beside the reading of the
+	// answer; nil if the request was written before.
+	writing chan error
+	// began is when the request was given to the connection, and idle how long the
+	// connection was idle before.
+	began    time.Time
+	idle     time.Duration
+	response *http.Response
+	// empty is set if the answer has no body.
+	empty bool
+	over  bool
+}
+
+// past is a deadline that ends reads and writes at once.
+var past = time.Unix(1, 0)
+
+// exchange sends a request with a body and reads the head of its answer. sent
+// reports whether the upstream may have got a part of the request.
+func (p *conns) exchange(ctx context.Context, request *http.Request, body []byte, single bool) (e *exchange, sent bool, err error) {
+	for {
+		request.Body = io.NopCloser(bytes.NewReader(body))
+		c, err := p.take(ctx, single)
+		if err != nil {
+			return nil, false, contextError(ctx, err)
+		}
+		e = &exchange{ctx: ctx, conn: c, began: time.Now()}
+		if c.kept {
+			e.idle = e.began.Sub(c.idleSince)
+		}
+		e.stop = context.AfterFunc(ctx, func() { _ = c.SetDeadline(past) })
+		err = e.send(request)
+		if err == nil {
+			err = e.receive(request)
+		}
+		if err == nil {
+			return e, true, nil
+		}
+		sent := e.abandon()
+		if sent || !c.kept || ctx.Err() != nil {
+			return nil, sent, contextError(ctx, err)
+		}
+		// The kept connection had ended before a byte went out.
+	}
+}
+
+// contextError returns why the context ended, if it did: errors of a connection
+// then follow from that.
+func contextError(ctx context.Context, err error) error {
+	if ended := ctx.Err(); ended != nil {
+		return ended
+	}
+	return err
+}
+
+// send writes the request. One that doesn't fit in the buffer is written while the
+// answer is awaited, since an upstream may answer before it has read a long body.
+func (e *exchange) send(request *http.Request) error {
+	if request.ContentLength <= bufferSize/2 {
+		err := e.write(request)
+		if err != nil && e.conn.written > 0 {
+			return nil // the answer may say why the upstream reads no further
+		}
+		return err
+	}
+	e.writing = make(chan error, 1)
+	go func() { e.writing <- e.write(request) }()
+	return nil
+}
+
+func (e *exchange) write(request *http.Request) error {
+	if err := request.Write(e.conn.writer); err != nil {
+		return errors.Wrap(err, "request")
+	}
+	return errors.Wrap(e.conn.writer.Flush(), "request")
+}
+
+// receive reads the head of the answer.
+func (e *exchange) receive(request *http.Request) error {
+	c := e.conn
+	c.headLeft = call.MaxHeaderBytes
+	defer func() { c.headLeft = -1 }()
+	for {
+		response, err := http.ReadResponse(c.reader, request)
+		if err != nil {
+			if c.kept && e.ctx.Err() == nil {
+				c.pool.dropped(time.Now(), e.idle)
+			}
+			return errors.Wrap(err, "answer")
+		}
+		// Interim answers precede the final one. Source: RFC 9110, section 15.2.
+		if response.StatusCode >= http.StatusOK || response.StatusCode == http.StatusSwitchingProtocols {
+			c.idleLimit = announcedIdle(response.Header)
+			e.empty = response.Body == http.NoBody
+			response.Body = &exchangeBody{response.Body, e}
+			e.response = response
+			return nil
+		}
+	}
+}
+
+// announcedIdle returns half of the idle time that Keep-Alive announces, since the
+// upstream counts from an earlier moment; 0 if there is none.
+func announcedIdle(h http.Header) time.Duration {
+	for _, part := range strings.Split(h.Get("Keep-Alive"), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
+		if !strings.EqualFold(strings.TrimSpace(name), "timeout") {
+			continue
+		}
+		seconds, err := strconv.Atoi(strings.TrimSpace(value))
+		if err == nil && seconds > 0 {
+			return time.Duration(seconds) * time.Second / 2
+		}
+	}
+	return 0
+}
+
+// complete ends an exchange whose answer is whole. The connection is kept unless
+// something is left on it, or the upstream closes it.
+func (e *exchange) complete() {
+	if e.over {
+		return
+	}
+	e.over = true
+	usable := e.stop() && !e.response.Close && e.conn.reader.Buffered() == 0 && e.isWritten()
+	if !usable {
+		_ = e.conn.Close()
+		return
+	}
+	e.conn.pool.put(e.conn)
+}
+
+// isBuffered reports whether the rest of the answer has been received.
+func (e *exchange) isBuffered() bool {
+	length := e.response.ContentLength
+	return length >= 0 && length <= int64(e.conn.reader.Buffered())
+}
+
+// isWritten reports whether the whole request was written.
+func (e *exchange) isWritten() bool {
+	if e.writing == nil {
+		return true
+	}
+	select {
+	case err := <-e.writing:
+		return err == nil
+	default:
+		return false
+	}
+}
+
+// abandon ends an exchange with its connection. It reports whether the upstream may
+// have got a part of the request.
+func (e *exchange) abandon() (sent bool) {
+	if !e.over {
+		e.over = true
+		e.stop()
+	}
+	_ = e.conn.Close()
+	if e.writing != nil {
+		<-e.writing // the connection is closed, so that the write ends
+	}
+	return e.conn.written > 0
+}
+
+// exchangeBody is the body of an answer. It keeps the connection when the body was
+// read to its end, and closes it otherwise.
+type exchangeBody struct {
+	io.ReadCloser
+	exchange *exchange
+}
+
+// Read implements io.Reader.
+func (b *exchangeBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	switch {
+	case err == nil:
+	case errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF):
+		b.exchange.complete()
+	default:
+		err = contextError(b.exchange.ctx, err)
+		b.exchange.abandon()
+	}
+	return n, err
+}
+
+// Close implements io.Closer.
+func (b *exchangeBody) Close() error {
+	e := b.exchange
+	switch {
+	case e.over:
+	case e.empty:
+		e.complete()
+	case e.isBuffered():
+		_, _ = io.Copy(io.Discard, b) // reads no byte from the connection
+	default:
+		e.abandon()
+	}
+	return nil
+}
--- /dev/null
+++ b/node/upstream/exchange_test.go
@@ -0,0 +1,312 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"fuchsiavane.org/node/call"
+	"fuchsiavane.org/node/runs"
+	"fuchsiavane.org/node/settingsync"
+)
+
+// scripted is an upstream whose handling of each connection is given.
+type scripted struct {
+	t        *testing.T
+	listener net.Listener
+	accepted atomic.Int64
+}
+
+// newScripted calls handle for each connection, numbered from 1, and then closes it.
+func newScripted(t *testing.T, handle func(number int64, conn net.Conn, from *bufio.Reader)) *scripted {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &scripted{t: t, listener: l}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			number := s.accepted.Add(1)
+			go func() {
+				defer conn.Close()
+				handle(number, conn, bufio.NewReader(conn))
+			}()
+		}
+	}()
+	return s
+}
+
+func (s *scripted) runner() *Runner {
+	s.t.Helper()
+	base, err := url.Parse("http://" + s.listener.Addr().String())
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	return NewRunner(base, NewGate("bench", settingsync.NewHolder()), runs.NewTable())
+}
+
+// readRequest reads a request whole. It reports false at the end of the connection.
+func readRequest(from *bufio.Reader) bool {
+	request, err := http.ReadRequest(from)
+	if err != nil {
+		return false
+	}
+	_, err = io.Copy(io.Discard, request.Body)
+	return err == nil
+}
+
+const wholeAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+func get(timeout time.Duration) *call.Request {
+	r := request(http.MethodGet, nil)
+	r.Idempotent = true
+	r.Deadline = time.Now().Add(timeout)
+	return r
+}
+
+// patience bounds what these tests wait for.
+const patience = 10 * time.Second
+
+// text reads an answer to its end.
+func text(a *call.Answer) (string, error) {
+	defer a.Body.Close()
+	body, err := io.ReadAll(a.Body)
+	return string(body), err
+}
+
+func TestConnectionIsKeptAfterAWholeAnswer(t *testing.T) {
+	for name, answer := range map[string]string{
+		"length":  wholeAnswer,
+		"chunks":  "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+		"no body": "HTTP/1.1 204 No Content\r\n\r\n",
+		"interim": "HTTP/1.1 103 Early Hints\r\nLink: <x>\r\n\r\n" + wholeAnswer,
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			up := newScripted(t, func(_ int64, conn net.Conn, from *bufio.Reader) {
+				for readRequest(from) {
+					_, _ = io.WriteString(conn, answer)
+				}
+			})
+			u := up.runner()
+			for range 3 {
+				a := u.Serve(context.Background(), get(patience))
+				is.Equal(a.Outcome, call.Ran)
+				_, err := text(a)
+				is.NoErr(err)
+			}
+			is.Equal(up.accepted.Load(), int64(1))
+		})
+	}
+}
+
+// TestConnectionOutOfStepIsNotUsedAgain: bytes beyond a whole answer, the end of the
+// connection, or the upstream's word that it closes.
+func TestConnectionOutOfStepIsNotUsedAgain(t *testing.T) {
+	for name, answer := range map[string]string{
+		"second answer": wholeAnswer + wholeAnswer,
+		"closes":        "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok",
+		"no length":     "HTTP/1.1 200 OK\r\n\r\nok",
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			up := newScripted(t, func(_ int64, conn net.Conn, from *bufio.Reader) {
+				for readRequest(from) {
+					_, _ = io.WriteString(conn, answer)
+					if name == "no length" {
+						return
+					}
+				}
+			})
+			u := up.runner()
+			for n := range int64(3) {
+				a := u.Serve(context.Background(), get(patience))
+				got, err := text(a)
+				is.NoErr(err)
+				is.Equal(got, "ok")
+				is.Equal(up.accepted.Load(), n+1)
+			}
+		})
+	}
+}
+
+// TestWhatComesOnAnIdleConnectionBelongsToNobody: a late second answer, or the end of
+// the connection, is noticed before the next request is sent, so that a request that
+// must not run twice is not lost.
+func TestWhatComesOnAnIdleConnectionBelongsToNobody(t *testing.T) {
+	for _, name := range []string{"late answer", "end"} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			late := make(chan struct{}, 2)
+			up := newScripted(t, func(number int64, conn net.Conn, from *bufio.Reader) {
+				if !readRequest(from) {
+					return
+				}
+				_, _ = io.WriteString(conn, wholeAnswer)
+				if number == 1 && name == "end" {
+					_ = conn.Close()
+				} else if number == 1 {
+					_, _ = io.WriteString(conn, strings.Replace(wholeAnswer, "ok", "no", 1))
+				}
+				late <- struct{}{}
+				readRequest(from)
+			})
+			u := up.runner()
+			_, err := text(u.Serve(context.Background(), request(http.MethodPost, nil)))
+			is.NoErr(err)
+			<-late
+			time.Sleep(10 * time.Millisecond) // below singleIdleTimeout; lets the bytes arrive
+			got, err := text(u.Serve(context.Background(), request(http.MethodPost, nil)))
+			is.NoErr(err)
+			is.Equal(got, "ok")
+		})
+	}
+}
+
+// TestCutAnswersAreNotWhole: an answer with a length, in chunks or without a length
+// that is reset on the way.
+func TestCutAnswersAreNotWhole(t *testing.T) {
+	for name, answer := range map[string]string{
+		"length":    "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok",
+		"chunks":    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n",
+		"no length": "HTTP/1.1 200 OK\r\n\r\nok",
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			up := newScripted(t, func(_ int64, conn net.Conn, from *bufio.Reader) {
+				if !readRequest(from) {
+					return
+				}
+				_, _ = io.WriteString(conn, answer)
+				if name == "no length" {
+					time.Sleep(20 * time.Millisecond) // lets the head arrive before the reset
+					_ = conn.(*net.TCPConn).SetLinger(0)
+				}
+			})
+			a := up.runner().Serve(context.Background(), get(patience))
+			is.Equal(a.Outcome, call.Ran)
+			_, err := text(a)
+			is.True(err != nil)
+		})
+	}
+}
+
+// TestEarlyAnswerToALongBody: the upstream answers before it reads the body and keeps
+// the connection; the rest of the body must not be followed by another request.
+func TestEarlyAnswerToALongBody(t *testing.T) {
+	is := is.New(t)
+	var bodies atomic.Int64
+	up := newScripted(t, func(_ int64, conn net.Conn, from *bufio.Reader) {
+		for {
+			request, err := http.ReadRequest(from)
+			if err != nil {
+				return
+			}
+			_, _ = io.WriteString(conn, wholeAnswer)
+			time.Sleep(20 * time.Millisecond)
+			if n, _ := io.Copy(io.Discard, request.Body); n == request.ContentLength {
+				bodies.Add(1)
+			}
+		}
+	})
+	u := up.runner()
+	for range 2 {
+		r := request(http.MethodPost, make([]byte, call.MaxRequestBody))
+		got, err := text(u.Serve(context.Background(), r))
+		is.NoErr(err)
+		is.Equal(got, "ok")
+	}
+	is.Equal(up.accepted.Load(), int64(2))
+	is.Equal(bodies.Load(), int64(0))
+}
+
+// TestIdleTimeOfTheUpstreamIsKept: a connection is used only well within the time
+// that Keep-Alive announces.
+func TestIdleTimeOfTheUpstreamIsKept(t *testing.T) {
+	is := is.New(t)
+	for text, want := range map[string]time.Duration{
+		"timeout=4": 2 * time.Second, "max=3, Timeout = 1": 500 * time.Millisecond, "timeout=x": 0, "": 0,
+	} {
+		is.Equal(announcedIdle(http.Header{"Keep-Alive": {text}}), want)
+	}
+	now := time.Now()
+	p := newConns("")
+	p.idle = []*conn{{idleSince: now.Add(-time.Second), idleLimit: time.Second}}
+	is.True(p.pop(now, false) == nil)
+	p.idle[0].idleLimit = 2 * time.Second
+	is.True(p.pop(now, true) == nil) // idle for too long for one that must not run twice
+	is.True(p.pop(now, false) != nil)
+}
+
+// TestForgottenIdleConnectionsAreLearnt plays an upstream that resets what is sent on a
+// connection idle for a while: after the first loss younger connections alone are used.
+func TestForgottenIdleConnectionsAreLearnt(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	p := newConns("")
+	p.dropped(now, 320*time.Millisecond)
+	p.idle = []*conn{{idleSince: now.Add(-200 * time.Millisecond)}}
+	is.True(p.pop(now, false) == nil)
+	p.idle[0].idleSince = now.Add(-100 * time.Millisecond)
+	is.True(p.pop(now, false) != nil)
+	p.idle = []*conn{{idleSince: now.Add(distrustTime - time.Second)}}
+	is.True(p.pop(now.Add(distrustTime), false) != nil) // trusted again
+}
+
+// TestGivenUpRequestEndsItsConnection: the upstream sees the end of a request that its
+// caller gave up.
+func TestGivenUpRequestEndsItsConnection(t *testing.T) {
+	is := is.New(t)
+	got, ended := make(chan struct{}), make(chan struct{})
+	up := newScripted(t, func(_ int64, _ net.Conn, from *bufio.Reader) {
+		readRequest(from)
+		close(got)
+		_, _ = from.ReadByte()
+		close(ended)
+	})
+	ctx, giveUp := context.WithCancel(context.Background())
+	answers := make(chan *call.Answer, 1)
+	u := up.runner()
+	go func() { answers <- u.Serve(ctx, get(patience)) }()
+	<-got
+	giveUp()
+	a := <-answers
+	is.Equal(a.Refusal, call.RefusedCancelled)
+	is.Equal(a.Outcome, call.Unknown)
+	select {
+	case <-ended:
+	case <-time.After(patience):
+		t.Fatal("the connection is still open")
+	}
+}
+
+// TestHugeHeadIsRefused: the head of an answer is bounded.
+func TestHugeHeadIsRefused(t *testing.T) {
+	is := is.New(t)
+	up := newScripted(t, func(_ int64, conn net.Conn, from *bufio.Reader) {
+		readRequest(from)
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n")
+		for n := range 2 * call.MaxHeaderBytes / 100 {
+			_, _ = fmt.Fprintf(conn, "X-%d: %s\r\n", n, strings.Repeat("x", 100))
+		}
+	})
+	a := up.runner().Serve(context.Background(), get(patience))
+	is.Equal(a.Refusal, call.RefusedUnreachable)
+	is.Equal(a.Outcome, call.Unknown)
+}
--- a/node/upstream/upstream.go
+++ b/node/upstream/upstream.go
@@ -3,13 +3,11 @@
 package upstream
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"maps"
 	"net"
 	"net/http"
-	"net/http/httptrace"
 	"net/url"
 	"strings"
 	"sync/atomic"
@@ -23,18 +21,6 @@
 	"fuchsiavane.org/node/runs"
 )
 
-// connectTimeout bounds the opening of a connection to the upstream.
-const connectTimeout = time.Second
-
-// idleTimeout closes an idle connection before common upstreams do it, since a
-// request that meets a closing connection has an unknown outcome.
-const idleTimeout = 4 * time.Second
-
-// singleIdleTimeout is the same for requests that must not run twice, of which a
-// lost connection is a lost request. Upstreams whose connections close sooner
-// than announced have not been seen to do it within a second.
-const singleIdleTimeout = 500 * time.Millisecond
-
 // Runner runs requests at the upstream. It is safe for concurrent use.
 type Runner struct {
 	base     *url.URL
@@ -47,9 +33,7 @@
 	// began.
 	renewed atomic.Int64
 	began   time.Time
-	// repeatable carries idempotent requests, and single the others: on a
-	// connection that the upstream may just have closed, those would be lost.
-	repeatable, single *http.Transport
+	conns   *conns
 }
 
 var _ call.Server = (*Runner)(nil)
@@ -69,7 +53,7 @@
 	u := &Runner{
 		began: time.Now(),
 		base:  base, gate: gate, table: table, dialect: ownDialect{}, presence: presence.Fixed(),
-		repeatable: newTransport(idleTimeout), single: newTransport(singleIdleTimeout),
+		conns: newConns(hostPort(base)),
 	}
 	for _, option := range options {
 		option(u)
@@ -77,15 +61,12 @@
 	return u
 }
 
-func newTransport(idle time.Duration) *http.Transport {
-	return &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: connectTimeout}).DialContext,
-		MaxIdleConnsPerHost: 256,
-		IdleConnTimeout:     idle,
-		DisableCompression:  true,
-		// An answer's header is carried whole or not at all.
-		MaxResponseHeaderBytes: call.MaxHeaderBytes,
+// hostPort returns the address of a base URL.
+func hostPort(base *url.URL) string {
+	if base.Port() != "" {
+		return base.Host
 	}
+	return net.JoinHostPort(base.Hostname(), "80")
 }
 
 // Leave makes the Runner refuse new requests; those in progress go on.
@@ -155,9 +136,9 @@
 		pass.Leave(as)
 	}
 	instance := u.presence.Now(time.Now()).Instance
-	response, conn, err := u.forward(ctx, r, instance)
+	e, sent, err := u.forward(ctx, r, instance)
 	if err == nil {
-		err = u.judge(r, response, conn, instance)
+		err = u.judge(r, e, instance)
 	}
 	var shed *shedError
 	if errors.As(err, &shed) {
@@ -170,12 +151,12 @@
 	}
 	if err != nil {
 		end(endOfError(run, err))
-		a := u.failure(r, run, conn != nil, err)
+		a := u.failure(r, run, sent, err)
 		a.Level = u.gate.worst(run)
 		return a
 	}
 	pass.Answered()
-	a := u.answer(run, response, end)
+	a := u.answer(run, e, end)
 	a.Level = u.gate.worst(run)
 	return a
 }
@@ -189,49 +170,34 @@
 	return context.WithDeadline(ctx, deadline)
 }
 
-// forward sends the request to the upstream. conn is the connection that it went
-// by, nil if no byte of it was given to the upstream.
-func (u *Runner) forward(ctx context.Context, r *call.Request, instance string) (response *http.Response, conn net.Conn, err error) {
+// forward sends the request to the upstream. sent reports whether the upstream may
+// have got a part of it.
+func (u *Runner) forward(ctx context.Context, r *call.Request, instance string) (e *exchange, sent bool, err error) {
 	target, err := u.target(r)
 	if err != nil {
-		return nil, nil, err
+		return nil, false, err
 	}
-	var used atomic.Pointer[net.Conn]
-	var kept atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		used.Store(&info.Conn)
-		kept.Store(info.Reused)
-	}}
-	ctx = httptrace.WithClientTrace(ctx, trace)
-	request := newRequest(ctx, r, target)
+	request := newRequest(r, target)
 	u.dialect.Address(request, r, instance, time.Now())
-	transport := u.repeatable
-	if !r.Idempotent {
-		transport = u.single
-	}
-	response, err = transport.RoundTrip(request)
-	if kept.Load() && errors.Is(err, context.DeadlineExceeded) {
+	e, sent, err = u.conns.exchange(ctx, request, r.Body, !r.Idempotent)
+	if sent && errors.Is(err, context.DeadlineExceeded) {
 		u.renew()
 	}
-	if got := used.Load(); got != nil {
-		conn = *got
-	}
-	return response, conn, err
+	return e, sent, err
 }
 
 // renewPause is the least time between two renewals of the idle connections.
 const renewPause = 500 * time.Millisecond
 
-// renew gives the idle connections up after a kept one gave no answer: what lies
-// between may have lost track of all of them without a word.
+// renew gives the idle connections up after one gave no answer: what lies between
+// may have lost track of all of them without a word.
 func (u *Runner) renew() {
 	now := int64(time.Since(u.began))
 	last := u.renewed.Load()
 	if now-last < int64(renewPause) || !u.renewed.CompareAndSwap(last, now) {
 		return
 	}
-	u.repeatable.CloseIdleConnections()
-	u.single.CloseIdleConnections()
+	u.conns.forget()
 }
 
 // target returns the URL of a request. A target that begins with one slash goes
@@ -244,16 +210,14 @@
 	return target, errors.Wrap(err, "target")
 }
 
-// identity keeps the transport from sending an empty body in chunks.
+// identity keeps net/http from sending an empty body in chunks.
 var identity = []string{"identity"}
 
-// noUserAgent keeps the transport from adding its own name.
+// noUserAgent keeps net/http from adding its own name.
 var noUserAgent = []string{""}
 
-// newRequest makes the request for the upstream. Its body is never nil and has
-// no GetBody: the transport would otherwise send a GET, and any request with an
-// Idempotency-Key, a second time by itself when a kept connection breaks.
-func newRequest(ctx context.Context, r *call.Request, target *url.URL) *http.Request {
+// newRequest makes the request for the upstream, without its body.
+func newRequest(r *call.Request, target *url.URL) *http.Request {
 	request := &http.Request{
 		Method:        r.Method,
 		URL:           target,
@@ -262,7 +226,6 @@
 		Proto:         "HTTP/1.1",
 		ProtoMajor:    1,
 		ProtoMinor:    1,
-		Body:          io.NopCloser(bytes.NewReader(r.Body)),
 		ContentLength: int64(len(r.Body)),
 	}
 	if r.Host != "" {
@@ -274,7 +237,7 @@
 	if len(request.Header["User-Agent"]) == 0 {
 		request.Header["User-Agent"] = noUserAgent
 	}
-	return request.WithContext(ctx)
+	return request
 }
 
 func (u *Runner) failure(r *call.Request, run *runs.Run, sent bool, err error) *call.Answer {
@@ -294,7 +257,8 @@
 	return a
 }
 
-func (u *Runner) answer(run *runs.Run, response *http.Response, end func(End)) *call.Answer {
+func (u *Runner) answer(run *runs.Run, e *exchange, end func(End)) *call.Answer {
+	response := e.response
 	header := response.Header
 	call.RemoveHopByHop(header)
 	as := endOfStatus(run, response.StatusCode)
@@ -306,7 +270,7 @@
 	return &call.Answer{
 		Status:  response.StatusCode,
 		Header:  header,
-		Length:  bodyLength(response),
+		Length:  bodyLength(e),
 		Body:    body,
 		Outcome: call.Ran,
 		Unspent: run.Budget.Drain(),
@@ -316,11 +280,11 @@
 // bodyLength returns the bytes that the body holds, or -1 if that is not known.
 // An answer to HEAD and a 304 have the length of a body that is not sent.
 // Source: RFC 9110, section 8.6.
-func bodyLength(response *http.Response) int64 {
-	if response.Body == http.NoBody {
+func bodyLength(e *exchange) int64 {
+	if e.empty {
 		return 0
 	}
-	return response.ContentLength
+	return e.response.ContentLength
 }
 
 // endingBody ends the run when the answer's body is closed.
