--- a/lab/mesh/mesh_test.go
+++ b/lab/mesh/mesh_test.go
@@ -28,6 +28,8 @@
 	// patience bounds every wait of these tests, also on a busy machine.
 	patience = 20 * time.Second
 	interval = 10 * time.Millisecond
+	// peersNotice is the last part of a stop's notice, in which peers are told.
+	peersNotice = time.Second
 	// heartbeat is the pause between announcements.
 	heartbeat = 100 * time.Millisecond
 )
@@ -427,6 +429,35 @@
 	desk.await("again", "/x/1", status(200))
 }
 
+// TestUpstreamKeepsItsWorkWhileCallersAreTold: a stopping daemon turns callers away for
+// seconds. Its upstream is sound and serves peers until shortly before the daemon
+// refuses: where few upstreams are left, a restart takes one away for less time.
+func TestUpstreamKeepsItsWorkWhileCallersAreTold(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	desk, registry := f.start("desk", "south-1"), f.start("registry", "south-1")
+	registry.stop()
+	<-registry.done
+	registry.settings.Notice = 3 * time.Second
+	registry.run()
+	f.configure(1, route("/x/", "unsafe", "registry", 1))
+	desk.await("ready", "/x/1", status(200))
+	registry.stop()
+	began := time.Now()
+	for time.Since(began) < registry.settings.Notice-peersNotice-100*time.Millisecond {
+		a := desk.call(http.MethodPost, "/x/1", "")
+		if time.Since(began) < registry.settings.Notice-peersNotice { // else the machine is too slow to tell
+			is.Equal(a.status, 200)
+		}
+		time.Sleep(interval)
+	}
+	ready, err := http.Get("http://" + registry.settings.Ready.String() + "/api/readyz")
+	if err == nil { // it may have stopped already on a slow machine
+		is.Equal(ready.StatusCode, 503)
+		is.NoErr(ready.Body.Close())
+	}
+}
+
 // BenchmarkCall measures a call over a link, with both daemons, the client and the
 // upstream in one process.
 func BenchmarkCall(b *testing.B) {
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -61,6 +62,8 @@
 	resends *retry.Resends
 	levels  *levels
 	returns *returns
+	// leaving is set while the daemon stops as planned.
+	leaving atomic.Bool
 }
 
 // New returns a Gateway.
@@ -75,6 +78,11 @@
 	}
 }
 
+// Leave tells that the daemon stops as planned: from then on a call whose parent
+// ends is cut only by its own caller, so that the stop breaks off no run that has a
+// caller waiting.
+func (g *Gateway) Leave() { g.leaving.Store(true) }
+
 // Call makes one call: it sends the request to a peer, and again to another
 // while that is allowed. budget holds the retries of the call's parent.
 func (g *Gateway) Call(ctx context.Context, r *call.Request, values *settings.Values, budget *retry.Budget) *call.Answer {
--- a/node/gateway/routed.go
+++ b/node/gateway/routed.go
@@ -136,7 +136,11 @@
 		p.request.Deadline = parent.Deadline
 	}
 	ctx, cancel := context.WithCancel(p.ctx)
-	context.AfterFunc(parent.Context, cancel)
+	context.AfterFunc(parent.Context, func() {
+		if !g.leaving.Load() {
+			cancel()
+		}
+	})
 	p.ctx = ctx
 }
 
--- /dev/null
+++ b/node/gateway/routed_test.go
@@ -0,0 +1,32 @@
+package gateway
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+
+	"github.com/matryer/is"
+
+	"fuchsiavane.org/node/call"
+	"fuchsiavane.org/node/runs"
+)
+
+// TestEndOfAParent: the calls of a run that has ended are given up, but not in a
+// planned stop, where one whose caller still waits is answered. Day hunt-714c-39 of
+// tpwax-mesh: a sibling failed, and a call at work was answered 502 after SIGTERM.
+func TestEndOfAParent(t *testing.T) {
+	for _, leaving := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			g := &Gateway{}
+			if leaving {
+				g.Leave()
+			}
+			parent, end := context.WithCancel(t.Context())
+			p := &prepared{ctx: t.Context(), request: &call.Request{}}
+			g.inherit(p, &runs.Run{Context: parent})
+			end()
+			synctest.Wait()
+			is.New(t).Equal(p.ctx.Err() == nil, leaving)
+		})
+	}
+}
