Retries of a service are bounded in a window, for the whole fleet

Cause: each daemon could send ten retries at once whatever the fleet's size: 840 on 84 daemons, where the platform allows 115 beyond the ratio. Change: core/retry.Allowances counts first sends and retries over a window. Settings retry_burst and retry_window_ms; the burst is shared by the daemons known. Calls of runs leave a quarter to roots. Tried and dropped: retries for the calls of some roots by the hash of their id.

--- a/core/settings/keys.go
+++ b/core/settings/keys.go
@@ -136,6 +136,16 @@
 		},
 		func(v *Values) any { return v.RetryRatio },
 	},
+	{
+		"retry_burst", "retries", "Retries of a service that the whole fleet may make in a window beyond the ratio.", LevelRank,
+		integer(0, 1_000_000, func(v *Values) *int { return &v.RetryBurst }),
+		func(v *Values) any { return v.RetryBurst },
+	},
+	{
+		"retry_window_ms", "ms", "Time over which retries and first sends are counted.", LevelRank,
+		duration(1000, maxDuration, func(v *Values) *time.Duration { return &v.RetryWindow }),
+		func(v *Values) any { return v.RetryWindow.Milliseconds() },
+	},
 	{
 		"idempotent", "true or false", "Whether a request may run more than once; by method as in RFC 9110 if unset.", LevelRank,
 		func(c *checker, n *jsontree.Node) func(*Values) {
--- a/core/settings/values.go
+++ b/core/settings/values.go
@@ -82,6 +82,10 @@
 	// RetryRatio bounds retries as a part of first attempts, per service and
 	// per caller.
 	RetryRatio float64
+	// RetryBurst is the retries of a service that the fleet may make in RetryWindow
+	// beyond the ratio.
+	RetryBurst  int
+	RetryWindow time.Duration
 	// Idempotent says whether the call may run more than once. When it is not
 	// set, the method decides as in RFC 9110.
 	Idempotent *bool
@@ -131,6 +135,8 @@
 		Timeout:     2 * time.Second,
 		Attempts:    3,
 		RetryRatio:  0.1,
+		RetryBurst:  10,
+		RetryWindow: 10 * time.Second,
 		OncePer:     OncePerKey,
 		Slots:       50,
 		Connections: 400,
--- a/node/daemon/daemon.go
+++ b/node/daemon/daemon.go
@@ -156,7 +156,7 @@
 	defer stop()
 	var group sync.WaitGroup
 	d.shared.start()
-	group.Go(func() { d.shareLink(duties) })
+	group.Go(func() { d.followShares(duties) })
 	if d.around.Callers == nil {
 		group.Go(func() { d.keeper.Run(duties) })
 	}
--- a/node/daemon/farlink.go
+++ b/node/daemon/farlink.go
@@ -5,18 +5,19 @@
 	"time"
 )
 
-// shareInterval is the pause between looks at the share of the link between
-// regions.
+// shareInterval is the pause between looks at this daemon's shares of what the
+// fleet may use.
 const shareInterval = time.Second
 
-// shareLink is the duty that keeps this daemon's share of the link between
-// regions in step with the settings and the neighbours.
-func (d *Daemon) shareLink(ctx context.Context) {
+// followShares is the duty that keeps this daemon's shares of the link between
+// regions and of the fleet's retries in step with the settings and the peers.
+func (d *Daemon) followShares(ctx context.Context) {
 	ticker := time.NewTicker(shareInterval)
 	defer ticker.Stop()
 	for now := time.Now(); ; {
 		capacity := d.settings.Current().Document.ServiceValues(d.config.Service).RegionLink
 		d.far.Share(now, capacity, d.picker.InRegion())
+		d.gateway.Share(len(d.shared.members.View().Peers))
 		select {
 		case <-ctx.Done():
 			return
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -57,11 +57,12 @@
 // Gateway makes calls. It is safe for concurrent use.
 type Gateway struct {
 	Config
-	owners  *owners
-	ratios  *retry.Ratios
-	resends *retry.Resends
-	levels  *levels
-	returns *returns
+	owners *owners
+	// allowances bound the retries of each service.
+	allowances *retry.Allowances
+	resends    *retry.Resends
+	levels     *levels
+	returns    *returns
 	// leaving is set while the daemon stops as planned.
 	leaving atomic.Bool
 }
@@ -69,15 +70,18 @@
 // New returns a Gateway.
 func New(config Config) *Gateway {
 	return &Gateway{
-		Config:  config,
-		owners:  newOwners(config.Place, config.Picker),
-		ratios:  retry.NewRatios(),
-		resends: retry.NewResends(),
-		levels:  newLevels(),
-		returns: newReturns(),
+		Config:     config,
+		owners:     newOwners(config.Place, config.Picker),
+		allowances: retry.NewAllowances(),
+		resends:    retry.NewResends(),
+		levels:     newLevels(),
+		returns:    newReturns(),
 	}
 }
 
+// Share sets the number of daemons among which the fleet's retries are shared.
+func (g *Gateway) Share(daemons int) { g.allowances.Share(daemons) }
+
 // Leave tells that the daemon stops as planned: from then on a call whose parent
 // ends is cut only by its own caller, so that the stop breaks off no run that has a
 // caller waiting.
@@ -86,7 +90,7 @@
 // Call makes one call: it sends the request to a peer, and again to another
 // while that is allowed. budget holds the retries of the call's parent.
 func (g *Gateway) Call(ctx context.Context, r *call.Request, values *settings.Values, budget *retry.Budget) *call.Answer {
-	g.ratios.First(r.Service, values.RetryRatio)
+	g.allowances.First(time.Now(), r.Service, termsOf(values))
 	if refusal := g.suspicion(r); refusal != nil {
 		return refusal
 	}
--- a/node/gateway/retries.go
+++ b/node/gateway/retries.go
@@ -116,12 +116,17 @@
 // payRetry takes one retry from the request's budget and from the service's
 // ratio.
 func (g *Gateway) payRetry(r *call.Request, values *settings.Values, budget *retry.Budget) bool {
-	if budget.Held() == 0 || !g.ratios.Take(r.Service, values.RetryRatio) {
+	if budget.Held() == 0 || !g.allowances.Take(time.Now(), r.Service, r.Nested, termsOf(values)) {
 		return false
 	}
 	return budget.Take()
 }
 
+// termsOf returns the bounds of the retries of a service.
+func termsOf(v *settings.Values) retry.Terms {
+	return retry.Terms{Ratio: v.RetryRatio, Burst: v.RetryBurst, Window: v.RetryWindow}
+}
+
 // backOff waits before another send. It reports false, without having waited,
 // if the deadline would pass, and false if the context ends.
 func backOff(ctx context.Context, deadline time.Time, sends int) bool {
