Slots by the age of the root

Cause: at the beginning of an overload all calls waited alike, so that every root lost one of its five to ten calls, until seconds later the levels had found their place. Change: the age of the root goes with every call, over links and through runs, and orders the queue, with a head start for urgency of 600 ms for the most urgent rank and 300 ms for each further one. The wait of a request is estimated by those before it in that order. Request.Objective, which no decision read, goes.

--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -4,8 +4,8 @@
 // run (package limit); ranks share the slots by floor shares and urgency, with a
 // short queue for each rank; and levels refuse at once, by a hash of the request
 // id, what would be refused anyway (package level). An upstream that announces its
-// slots needs no adaptive limit: there requests get slots by age, and levels follow
-// the wait for slots (aged.go). A Controller is a pure state machine:
+// slots needs no adaptive limit: there requests get slots by the age of their roots,
+// and levels follow the wait for slots (aged.go). A Controller is a pure state machine:
 // time comes in as an argument, and grants come out as values. A Controller is
 // not safe for concurrent use; the caller holds a lock around each call.
 package admission
@@ -56,7 +56,8 @@
 	// connections is no bound.
 	Slots, Connections int
 	// Announced says that Slots is what the upstream itself says. Runs then get
-	// slots by age, and roots are refused by the wait for slots; see aged.go.
+	// slots by the age of their root, and roots are refused by the wait for slots; see
+	// aged.go.
 	Announced bool
 	// Queue bounds the wait for a slot; nested requests wait up to four times as
 	// long. 0 is no queue.
@@ -77,6 +78,8 @@
 	Caller string
 	// Deadline is the time by which the answer is needed.
 	Deadline time.Time
+	// Began is when the root request entered the fleet; zero if that is not known.
+	Began time.Time
 	// Nested requests are made by a run. They wait longer, since refusing one
 	// wastes the work done for it.
 	Nested bool
--- a/core/admission/aged.go
+++ b/core/admission/aged.go
@@ -7,10 +7,12 @@
 )
 
 const (
-	// headStart is how much older a request counts than one of the next less
-	// urgent rank: about the time of a run, so that urgent work goes first and
-	// other work that was let in still gets its turn.
-	headStart = 10 * time.Millisecond
+	// headStart is how much older a root counts than one of the next less urgent rank,
+	// and urgentStart the same for the most urgent rank: well above the time in which an
+	// urgent request is to be answered, and below the time in which others give up, so
+	// that older roots that were let in still get their turn.
+	headStart   = 300 * time.Millisecond
+	urgentStart = 600 * time.Millisecond
 	// agedQueue bounds a rank's queue in multiples of the limit.
 	agedQueue = 12
 	// leastTarget is the least wait for a slot that is aimed at; below it chance
@@ -26,7 +28,7 @@
 	if !r.Nested && level.Refuses(c.Level(r.Rank), r.ID) {
 		return Decision{Verdict: Refused, Reason: ReasonShed}
 	}
-	ahead := c.waitOf(now, r.Rank)
+	ahead := c.waitOf(now, r)
 	if now.Add(ahead + c.ranks[r.Rank].service.estimate(now)).After(r.Deadline) {
 		return Decision{Verdict: Refused, Reason: ReasonDeadline}
 	}
@@ -40,13 +42,35 @@
 	return c.decide(w, append(grants, c.fill(now)...))
 }
 
-// waitOf estimates how long one more request of a rank waits for a slot: as long
-// as those before it take. Requests of less urgent ranks that wait already are
-// before it only when they are older by the head start, and are left out.
-func (c *Controller) waitOf(now time.Time, rank int) time.Duration {
+// placeOf returns the time by which a request is ordered: the start of its root. It
+// answers the moment at which an overload begins, before the levels have turned roots
+// away. In the order of arrival all calls would wait alike, every root would lose
+// one of its many calls, and none would be answered; in this order the oldest roots
+// end whole, and what can't be served is refused at its first call.
+func (c *Controller) placeOf(now time.Time, r Request) time.Time {
+	if !c.config.Announced || r.Began.IsZero() || r.Began.After(now) {
+		return now
+	}
+	return r.Began
+}
+
+// turn returns the time by which requests of all ranks are ordered.
+func turn(rank int, place time.Time) time.Time {
+	if rank == 0 {
+		return place
+	}
+	return place.Add(urgentStart + time.Duration(rank-1)*headStart)
+}
+
+// waitOf estimates how long one more request waits for a slot: as long as those that
+// wait before it take.
+func (c *Controller) waitOf(now time.Time, r Request) time.Duration {
+	own := turn(r.Rank, c.placeOf(now, r))
 	before := len(c.running) - c.limiter.Limit(now) + 1
-	for i := 0; i <= rank; i++ {
-		before += c.ranks[i].queued
+	for rank, k := range c.ranks {
+		for e := k.flows[0].requests.Front(); e != nil && !turn(rank, e.Value.(*waiting).place).After(own); e = e.Next() {
+			before++
+		}
 	}
 	return c.timeOf(now, before)
 }
@@ -69,8 +93,8 @@
 	return bound
 }
 
-// chooseAged returns the rank that gets the next slot: that of the request which
-// has waited longest, counting a head start for urgency.
+// chooseAged returns the rank that gets the next slot: that of the oldest root,
+// counting a head start for urgency.
 func (c *Controller) chooseAged() (int, bool) {
 	best := -1
 	var oldest time.Time
@@ -78,10 +102,9 @@
 		if k.queued == 0 {
 			continue
 		}
-		since := k.turns.Front().Value.(*flow).requests.Front().Value.(*waiting).since
-		since = since.Add(time.Duration(i) * headStart)
-		if best < 0 || since.Before(oldest) {
-			best, oldest = i, since
+		at := turn(i, k.turns.Front().Value.(*flow).requests.Front().Value.(*waiting).place)
+		if best < 0 || at.Before(oldest) {
+			best, oldest = i, at
 		}
 	}
 	return best, best >= 0
--- a/core/admission/aged_test.go
+++ b/core/admission/aged_test.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -100,7 +101,7 @@
 	if r.deadline.Before(deadline) {
 		deadline = r.deadline
 	}
-	d := t.controller.Offer(t.now, Request{ID: r.id, Rank: r.rank, Deadline: deadline, Nested: true})
+	d := t.controller.Offer(t.now, Request{ID: r.id, Rank: r.rank, Deadline: deadline, Began: r.deadline.Add(-treeTimeout), Nested: true})
 	t.settle(d.Grants)
 	switch d.Verdict {
 	case Admitted:
@@ -222,3 +223,60 @@
 	tree.play(3 * time.Second)
 	is.Equal(tree.controller.Level(0), level.Level(0))
 }
+
+// burst lets roots of each rank come at a rate that changes at some time, refused
+// where they enter by the level that was told some time ago.
+func (t *callTree) burst(rank, calls int, before, after float64, at time.Time) {
+	var come func()
+	come = func() {
+		t.asked[rank]++
+		r := &treeRoot{fmt.Sprint(rank, t.random.Uint64()), rank, calls, t.now.Add(treeTimeout), time.Time{}}
+		if told := len(t.levels) - int(treeDelay/level.Interval); told < 0 || !level.Refuses(t.levels[told][rank], r.id) {
+			t.call(r)
+		}
+		rate := before
+		if !t.now.Before(at) {
+			rate = after
+		}
+		t.after(time.Duration(t.random.ExpFloat64()/rate*float64(time.Second)), come)
+	}
+	come()
+}
+
+// TestOnsetOfOverload plays a calm time and then a sudden overload, as when upstreams
+// are taken away or callers come together: from its first second on most of what the
+// slots take ends in whole roots, although the levels need seconds to find their place.
+func TestOnsetOfOverload(t *testing.T) {
+	const calls = 10
+	for _, load := range []float64{1.3, 1.8, 2.5, 4} {
+		t.Run(fmt.Sprint(load), func(t *testing.T) {
+			tree := newCallTree(1)
+			onset := tree.now.Add(5 * time.Second)
+			tree.burst(0, calls, 0.65*capacity/calls, load*capacity/calls, onset)
+			tree.play(5 * time.Second)
+			before := tree.whole[0]
+			tree.play(4 * time.Second)
+			whole := float64(tree.whole[0] - before)
+			t.Logf("whole %.0f of a capacity of %.0f", whole, 4*capacity/calls)
+			is.New(t).True(whole >= 0.85*4*capacity/calls)
+		})
+	}
+}
+
+// TestUrgentWorkAtTheOnset: urgent requests of one call go before the calls of roots
+// that are not much older, and the less urgent ranks still end some roots whole.
+func TestUrgentWorkAtTheOnset(t *testing.T) {
+	is := is.New(t)
+	tree := newCallTree(3)
+	onset := tree.now.Add(5 * time.Second)
+	for rank, calls := range []int{1, 5, 10} {
+		demand := []float64{0.08, 0.6, 0.32}[rank] * capacity / float64(calls)
+		tree.burst(rank, calls, 0.65*demand, 2.5*demand, onset)
+	}
+	tree.play(5 * time.Second)
+	asked, whole := tree.asked[0], slices.Clone(tree.whole)
+	tree.play(4 * time.Second)
+	is.True(float64(tree.whole[0]-whole[0]) >= 0.85*float64(tree.asked[0]-asked))
+	is.True(tree.whole[1] > whole[1])
+	is.True(tree.whole[2] > whole[2])
+}
--- a/core/admission/queue.go
+++ b/core/admission/queue.go
@@ -23,6 +23,8 @@
 	ticket  Ticket
 	request Request
 	since   time.Time
+	// place orders the requests of a flow, the earliest first.
+	place   time.Time
 	expires time.Time
 	// cause is the reason given when it expires.
 	cause Reason
@@ -33,7 +35,7 @@
 
 // flow holds the queued requests of the callers that share a hash.
 type flow struct {
-	requests list.List     // of *waiting, oldest first
+	requests list.List     // of *waiting, by place
 	turn     *list.Element // place in rank.turns while not empty
 }
 
@@ -85,7 +87,7 @@
 // that flow and is not newer than what overload prefers.
 func (c *Controller) enqueue(now time.Time, r Request) (w *waiting, grants []Grant) {
 	k := c.ranks[r.Rank]
-	f := k.flowOf(r.Caller)
+	f := c.flowOf(k, r)
 	if k.queued >= c.queueBound(now) {
 		longest := k.longest()
 		if longest == f && !c.newestFirst(now, k) {
@@ -97,7 +99,7 @@
 		grants = append(grants, Grant{oldest.ticket, ReasonFull})
 	}
 	c.last++
-	w = &waiting{ticket: c.last, request: r, since: now, flow: f}
+	w = &waiting{ticket: c.last, request: r, since: now, place: c.placeOf(now, r), flow: f}
 	w.expires, w.cause = c.expiryOf(now, r)
 	c.insert(now, k, w)
 	return w, grants
@@ -123,7 +125,7 @@
 	if k.queued == 0 {
 		k.backlogged = now
 	}
-	w.at = w.flow.requests.PushBack(w)
+	w.at = w.flow.insert(w)
 	if w.flow.turn == nil {
 		w.flow.turn = k.turns.PushBack(w.flow)
 	}
@@ -132,6 +134,16 @@
 	heap.Push(&c.expiry, w)
 }
 
+// insert puts a request in its place; most come last.
+func (f *flow) insert(w *waiting) *list.Element {
+	for e := f.requests.Back(); e != nil; e = e.Prev() {
+		if !e.Value.(*waiting).place.After(w.place) {
+			return f.requests.InsertAfter(w, e)
+		}
+	}
+	return f.requests.PushFront(w)
+}
+
 // remove takes a request out of its queue.
 func (c *Controller) remove(w *waiting) {
 	k := c.ranks[w.request.Rank]
@@ -145,9 +157,13 @@
 	heap.Remove(&c.expiry, w.index)
 }
 
-// flowOf returns the flow of a caller.
-func (k *rank) flowOf(caller string) *flow {
-	return &k.flows[level.Hash(caller)%flowsPerRank]
+// flowOf returns the flow of a request: that of its caller, or one for all where the
+// age of the root decides.
+func (c *Controller) flowOf(k *rank, r Request) *flow {
+	if c.config.Announced {
+		return &k.flows[0]
+	}
+	return &k.flows[level.Hash(r.Caller)%flowsPerRank]
 }
 
 // longest returns the flow with most requests; of equals, the one whose turn is
--- a/core/admission/share.go
+++ b/core/admission/share.go
@@ -88,7 +88,7 @@
 func (c *Controller) move(now time.Time, w *waiting, to int) {
 	c.remove(w)
 	w.request.Rank = to
-	w.flow = c.ranks[to].flowOf(w.request.Caller)
+	w.flow = c.flowOf(c.ranks[to], w.request)
 	c.insert(now, c.ranks[to], w)
 }
 
--- a/node/call/call.go
+++ b/node/call/call.go
@@ -103,9 +103,9 @@
 	// Nested requests are made by a run, so that refusing one wastes the work
 	// done for it.
 	Nested bool
-	// Objective is when the answer stops being of full use; zero if only the
-	// deadline counts. In the clock of the daemon that holds the request.
-	Objective time.Time
+	// Began is when the root request entered the fleet, in the clock of the daemon
+	// that holds the request.
+	Began time.Time
 	// Key is the idempotency key; empty for a request of which each attempt runs
 	// at most once, which only its entry daemon sends.
 	Key string
--- a/node/gateway/http.go
+++ b/node/gateway/http.go
@@ -95,7 +95,7 @@
 // fromCaller prepares a request at the caller port.
 func (g *Gateway) fromCaller(r *http.Request) (*prepared, *call.Answer) {
 	r.Header.Del(callctx.Header)
-	request := &call.Request{ID: uuid.NewString(), Caller: r.Header.Get(call.HeaderCaller)}
+	request := &call.Request{ID: uuid.NewString(), Caller: r.Header.Get(call.HeaderCaller), Began: time.Now()}
 	p, err := g.prepare(r, request, r.Header.Get(call.HeaderRank))
 	if err != nil {
 		return nil, badRequest(err)
@@ -127,6 +127,7 @@
 	if run := g.Runs.Find(parent.Run); run != nil {
 		p.parent = run
 		p.budget = run.Budget
+		p.request.Began = run.Began
 		ctx, cancel := context.WithCancel(r.Context())
 		context.AfterFunc(run.Context, cancel)
 		p.ctx = ctx
--- a/node/gateway/routed.go
+++ b/node/gateway/routed.go
@@ -11,7 +11,6 @@
 
 	"fuchsiavane.org/core/level"
 	"fuchsiavane.org/core/retry"
-	"fuchsiavane.org/core/settings"
 	"fuchsiavane.org/node/call"
 	"fuchsiavane.org/node/event"
 	"fuchsiavane.org/node/runs"
@@ -114,7 +113,7 @@
 		ID: head.ID, Label: head.ID, Service: target.Service, Host: r.Host, Method: r.Method,
 		Target: r.RequestURI, Path: route.Prefix, Header: header, Body: body,
 		Caller: head.Caller, Rank: values.Rank, Idempotent: values.IsIdempotent(r.Method),
-		Deadline: now.Add(allowed(head.Timeout, values.Timeout)), Objective: objective(now, &values),
+		Deadline: now.Add(allowed(head.Timeout, values.Timeout)), Began: now,
 	}
 	p := &prepared{ctx: r.Context(), request: request, values: values, budget: retry.NewBudget(values.Attempts - 1)}
 	if parent := g.Runs.FindLabel(head.Parent); parent != nil {
@@ -132,6 +131,7 @@
 	p.request.Rank = parent.Rank
 	p.values.Rank = parent.Rank
 	p.request.Nested = true
+	p.request.Began = parent.Began
 	if parent.Deadline.Before(p.request.Deadline) {
 		p.request.Deadline = parent.Deadline
 	}
@@ -153,15 +153,6 @@
 	return timeout
 }
 
-// objective returns when the answer stops being of full use, zero if that is
-// not before the timeout.
-func objective(now time.Time, v *settings.Values) time.Time {
-	if v.Target <= 0 || v.Target >= v.Timeout {
-		return time.Time{}
-	}
-	return now.Add(v.Target)
-}
-
 // passOf returns the part of requests that the level of an answer lets through.
 func passOf(a *call.Answer) float64 { return level.Pass(a.Level) }
 
--- a/node/link/client.go
+++ b/node/link/client.go
@@ -218,12 +218,12 @@
 }
 
 func requestHead(r *call.Request, now time.Time) *wire.Request {
-	objective := int64(0)
-	if !r.Objective.IsZero() {
-		objective = r.Objective.Sub(now).Microseconds()
+	age := int64(0)
+	if !r.Began.IsZero() {
+		age = now.Sub(r.Began).Microseconds()
 	}
 	return &wire.Request{
-		Host: r.Host, Label: r.Label, ObjectiveLeft: objective,
+		Host: r.Host, Label: r.Label, Age: age,
 		ID: r.ID, Run: r.Run, Service: r.Service, Method: r.Method, Target: r.Target, Path: r.Path,
 		Header: r.Header, Caller: r.Caller, Rank: r.Rank, TimeLeft: r.Deadline.Sub(now).Microseconds(),
 		Retries: r.Retries, Idempotent: r.Idempotent, Key: r.Key, Nested: r.Nested,
--- a/node/link/recovery_test.go
+++ b/node/link/recovery_test.go
@@ -360,3 +360,16 @@
 	}
 	is.New(t).True(next+dialTime <= DefaultTiming().Repeatable)
 }
+
+// TestAgeOfTheRootCrossesLinks: what orders the queues of a fleet is the age of the
+// root, in the clock of whichever daemon holds the call.
+func TestAgeOfTheRootCrossesLinks(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	r := newRequest(nil)
+	r.Began = now.Add(-700 * time.Millisecond)
+	later := now.Add(time.Hour) // another clock
+	is.Equal(later.Sub(requestOf(requestHead(r, now), later).Began), 700*time.Millisecond)
+	r.Began = time.Time{}
+	is.True(requestOf(requestHead(r, now), later).Began.IsZero())
+}
--- a/node/link/server.go
+++ b/node/link/server.go
@@ -117,12 +117,12 @@
 	if header == nil {
 		header = http.Header{}
 	}
-	var objective time.Time
-	if w.ObjectiveLeft != 0 {
-		objective = now.Add(time.Duration(w.ObjectiveLeft) * time.Microsecond)
+	var began time.Time
+	if w.Age > 0 {
+		began = now.Add(-time.Duration(w.Age) * time.Microsecond)
 	}
 	return &call.Request{
-		Host: w.Host, Label: w.Label, Objective: objective,
+		Host: w.Host, Label: w.Label, Began: began,
 		ID: w.ID, Run: w.Run, Service: w.Service, Method: w.Method, Target: w.Target, Path: w.Path,
 		Header: header, Caller: w.Caller, Rank: w.Rank, Retries: w.Retries,
 		Deadline:   now.Add(time.Duration(w.TimeLeft) * time.Microsecond),
--- a/node/runs/runs.go
+++ b/node/runs/runs.go
@@ -19,7 +19,9 @@
 	ID, RequestID, Label string
 	Caller, Rank         string
 	Deadline             time.Time
-	Budget               *retry.Budget
+	// Began is when the root request entered the fleet.
+	Began  time.Time
+	Budget *retry.Budget
 	// Context ends when the run is cancelled or over.
 	Context context.Context
 
--- a/node/upstream/gate.go
+++ b/node/upstream/gate.go
@@ -94,7 +94,7 @@
 	g.mu.Lock()
 	g.reconfigure(now)
 	d := g.controller.Offer(now, admission.Request{
-		ID: r.ID, Rank: rank, Caller: r.Caller, Deadline: r.Deadline, Nested: r.Nested,
+		ID: r.ID, Rank: rank, Caller: r.Caller, Deadline: r.Deadline, Began: r.Began, Nested: r.Nested,
 	})
 	g.deliver(d.Grants)
 	var granted chan admission.Reason
--- a/node/upstream/upstream.go
+++ b/node/upstream/upstream.go
@@ -122,7 +122,7 @@
 func (u *Runner) run(ctx context.Context, r *call.Request, pass *Pass) *call.Answer {
 	ctx, cancel := until(ctx, r.Deadline)
 	run := &runs.Run{
-		ID: r.Run, RequestID: r.ID, Label: r.Label, Caller: r.Caller, Rank: r.Rank, Deadline: r.Deadline,
+		ID: r.Run, RequestID: r.ID, Label: r.Label, Caller: r.Caller, Rank: r.Rank, Deadline: r.Deadline, Began: r.Began,
 		Budget: retry.NewBudget(r.Retries), Context: ctx,
 	}
 	u.table.Begin(run)
--- a/node/wire/wire.go
+++ b/node/wire/wire.go
@@ -123,8 +123,9 @@
 	Nested     bool   `cbor:"14,keyasint,omitempty"`
 	Host       string `cbor:"15,keyasint,omitempty"`
 	Label      string `cbor:"17,keyasint,omitempty"`
-	// ObjectiveLeft is in microseconds; 0 for none.
-	ObjectiveLeft int64 `cbor:"16,keyasint,omitempty"`
+	// Age is the time since the root request entered the fleet, in microseconds; 0
+	// if that is not known. Key 16 was used before.
+	Age int64 `cbor:"18,keyasint,omitempty"`
 }
 
 // Answer is the head of an answer.
