--- a/node/call/call.go
+++ b/node/call/call.go
@@ -7,6 +7,8 @@
 	"io"
 	"net/http"
 	"time"
+
+	"fuchsiavane.org/core/route"
 )
 
 // Outcome says what is known of a request's run.
@@ -114,15 +116,6 @@
 	KeyMade bool
 }
 
-// Load is the work at the upstream of an instance.
-type Load struct {
-	// Busy is the requests that run or wait, Slots those that run at a time; 0
-	// slots if the load is not known.
-	Busy, Slots int
-	// Service is the mean time of a run.
-	Service time.Duration
-}
-
 // Answer is the answer to a Request. The receiver closes Body.
 type Answer struct {
 	Status int
@@ -141,7 +134,7 @@
 	// Unspent is the part of Request.Retries that was not used.
 	Unspent int
 	// Load is what the instance that ran or refused the request says of its load.
-	Load Load
+	Load route.Load
 	// Level is the worst admission level of the subtree, 0 if none refuses.
 	Level uint32
 }
--- a/node/gateway/routing.go
+++ b/node/gateway/routing.go
@@ -58,6 +58,6 @@
 		Refused: a.Outcome == call.NotRun,
 		Leaving: a.Refusal == call.RefusedDraining,
 		Absent:  a.Refusal == call.RefusedNoUpstream,
-		Load:    route.Load{Busy: a.Load.Busy, Slots: a.Load.Slots, Service: a.Load.Service},
+		Load:    a.Load,
 	}
 }
--- a/node/link/client.go
+++ b/node/link/client.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"fuchsiavane.org/core/route"
 	"fuchsiavane.org/node/call"
 	"fuchsiavane.org/node/wire"
 )
@@ -269,6 +270,6 @@
 		Status: a.Status, Header: header, Length: a.Length, Body: b,
 		Outcome: call.Outcome(a.Outcome), Refusal: call.Refusal(a.Refusal), Detail: a.Detail,
 		RetryAfter: time.Duration(a.RetryAfter) * time.Millisecond, Unspent: a.Unspent, Level: a.Level,
-		Load: call.Load{Busy: a.Busy, Slots: a.Slots, Service: time.Duration(a.Service) * time.Microsecond},
+		Load: route.Load{Busy: a.Busy, Slots: a.Slots, Service: time.Duration(a.Service) * time.Microsecond},
 	}
 }
--- a/node/upstream/gate.go
+++ b/node/upstream/gate.go
@@ -8,6 +8,7 @@
 
 	"fuchsiavane.org/core/admission"
 	"fuchsiavane.org/core/level"
+	"fuchsiavane.org/core/route"
 	"fuchsiavane.org/node/call"
 	"fuchsiavane.org/node/event"
 	"fuchsiavane.org/node/settingsync"
@@ -271,11 +272,11 @@
 }
 
 // Report returns the load that answers carry.
-func (g *Gate) Report() call.Load {
+func (g *Gate) Report() route.Load {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	c := g.controller
-	return call.Load{Busy: c.InFlight() + c.Queued(), Slots: c.Limit(time.Now()), Service: c.MeanRun()}
+	return route.Load{Busy: c.InFlight() + c.Queued(), Slots: c.Limit(time.Now()), Service: c.MeanRun()}
 }
 
 // Limit returns the number of requests that may run at a time.
