--- a/node/upstream/conns.go
+++ b/node/upstream/conns.go
@@ -24,6 +24,10 @@
 	singleIdleTimeout = 200 * time.Millisecond
 	// leastTrust is the least idle time that the loss of a kept connection leaves.
 	leastTrust = 20 * time.Millisecond
+	// forgottenWithin is the time in which a request on a connection that the upstream
+	// has forgotten is reset: the upstream is on the same machine. A later end has
+	// another cause.
+	forgottenWithin = 20 * time.Millisecond
 	// distrustTime is how long idle times stay shortened after such a loss.
 	distrustTime = 10 * time.Second
 	// sweepInterval is the pause between looks for connections idle for too long.
--- a/node/upstream/exchange.go
+++ b/node/upstream/exchange.go
@@ -105,8 +105,8 @@
 	for {
 		response, err := http.ReadResponse(c.reader, request)
 		if err != nil {
-			if c.kept && e.ctx.Err() == nil {
-				c.pool.dropped(time.Now(), e.idle)
+			if now := time.Now(); c.kept && e.ctx.Err() == nil && now.Sub(e.began) < forgottenWithin {
+				c.pool.dropped(now, e.idle)
 			}
 			return errors.Wrap(err, "answer")
 		}
--- a/node/upstream/exchange_test.go
+++ b/node/upstream/exchange_test.go
@@ -269,6 +269,23 @@
 	is.True(p.pop(now.Add(distrustTime), false) != nil) // trusted again
 }
 
+// TestLostAnswersLeaveIdleTimesAlone plays an upstream that loses the answer of a request
+// which it has worked on: that says nothing of idle connections.
+func TestLostAnswersLeaveIdleTimesAlone(t *testing.T) {
+	is := is.New(t)
+	up := newScripted(t, func(_ int64, conn net.Conn, from *bufio.Reader) {
+		readRequest(from)
+		_, _ = io.WriteString(conn, wholeAnswer)
+		readRequest(from)
+		time.Sleep(2 * forgottenWithin)
+	})
+	u := up.runner()
+	_, err := text(u.Serve(context.Background(), get(patience)))
+	is.NoErr(err)
+	is.Equal(u.Serve(context.Background(), get(patience)).Outcome, call.Unknown)
+	is.True(u.conns.distrustUntil.IsZero())
+}
+
 // TestGivenUpRequestEndsItsConnection: the upstream sees the end of a request that its
 // caller gave up.
 func TestGivenUpRequestEndsItsConnection(t *testing.T) {
