Only kept connections speak for the idle ones

Cause: the last read: since a deadline on a new connection too closed all idle ones, up to twice a second in an overload, where deadlines pass for other reasons. Change: what a kept connection without an answer tells of the others is judged in one place, exchange.blame; the Runner's own bookkeeping goes. Shown: TestSilentConnectionEndsTheIdleOnes.

--- a/node/upstream/conns.go
+++ b/node/upstream/conns.go
@@ -20,8 +20,9 @@
 	// request that meets a closing connection has an unknown outcome.
 	idleTimeout = 4 * time.Second
 	// singleIdleTimeout is the same for requests that must not run twice, of which a
-	// lost connection is a lost request. A new connection costs about 1 ms.
-	singleIdleTimeout = 200 * time.Millisecond
+	// lost connection is a lost request: upstreams may forget connections within some
+	// tenths of a second, and a new one costs about 1 ms.
+	singleIdleTimeout = 100 * time.Millisecond
 	// leastTrust is the least idle time that the loss of a kept connection leaves.
 	leastTrust = 20 * time.Millisecond
 	// forgottenWithin is the time in which a request on a connection that the upstream
@@ -30,6 +31,9 @@
 	forgottenWithin = 20 * time.Millisecond
 	// distrustTime is how long idle times stay shortened after such a loss.
 	distrustTime = 10 * time.Second
+	// forgetPause is the least time between two times that all idle connections are
+	// given up.
+	forgetPause = 500 * time.Millisecond
 	// sweepInterval is the pause between looks for connections idle for too long.
 	sweepInterval = time.Second
 	// maxIdle bounds the idle connections.
@@ -51,6 +55,8 @@
 	trust         time.Duration
 	distrustUntil time.Time
 	sweeping      bool
+	// forgotten is when all idle connections were last given up.
+	forgotten time.Time
 }
 
 func newConns(addr string) *conns {
@@ -232,10 +238,15 @@
 	p.trust, p.distrustUntil = trust, now.Add(distrustTime)
 }
 
-// forget closes all idle connections.
-func (p *conns) forget() {
+// silent takes in that a kept connection gave no answer until the deadline: what lies
+// between may have lost track of all idle ones without a word, and they are closed.
+func (p *conns) silent(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if now.Sub(p.forgotten) < forgetPause {
+		return
+	}
+	p.forgotten = now
 	for _, c := range p.idle {
 		_ = c.Close()
 	}
--- a/node/upstream/exchange.go
+++ b/node/upstream/exchange.go
@@ -105,8 +105,8 @@
 	for {
 		response, err := http.ReadResponse(c.reader, request)
 		if err != nil {
-			if now := time.Now(); c.kept && e.ctx.Err() == nil && now.Sub(e.began) < forgottenWithin {
-				c.pool.dropped(now, e.idle)
+			if c.kept {
+				e.blame()
 			}
 			return errors.Wrap(err, "answer")
 		}
@@ -121,6 +121,17 @@
 	}
 }
 
+// blame takes in what a kept connection without an answer tells of the others.
+func (e *exchange) blame() {
+	now := time.Now()
+	switch ended := e.ctx.Err(); {
+	case errors.Is(ended, context.DeadlineExceeded):
+		e.conn.pool.silent(now)
+	case ended == nil && now.Sub(e.began) < forgottenWithin:
+		e.conn.pool.dropped(now, e.idle)
+	}
+}
+
 // announcedIdle returns half of the idle time that Keep-Alive announces, since the
 // upstream counts from an earlier moment; 0 if there is none.
 func announcedIdle(h http.Header) time.Duration {
--- a/node/upstream/exchange_test.go
+++ b/node/upstream/exchange_test.go
@@ -286,6 +286,32 @@
 	is.True(u.conns.distrustUntil.IsZero())
 }
 
+// TestSilentConnectionEndsTheIdleOnes: a kept connection that gives no answer until the
+// deadline may be one of many that have gone silent; a new one tells nothing of them.
+func TestSilentConnectionEndsTheIdleOnes(t *testing.T) {
+	for _, kept := range []bool{true, false} {
+		is := is.New(t)
+		up := newScripted(t, func(number int64, conn net.Conn, from *bufio.Reader) {
+			for readRequest(from) {
+				if number == 1 {
+					_, _ = io.WriteString(conn, wholeAnswer)
+					number = 0
+				}
+			}
+		})
+		u := up.runner()
+		if kept {
+			_, err := text(u.Serve(context.Background(), get(patience)))
+			is.NoErr(err)
+		} else {
+			up.accepted.Store(1)
+		}
+		a := u.Serve(context.Background(), get(50*time.Millisecond))
+		is.Equal(a.Refusal, call.RefusedDeadline)
+		is.Equal(u.conns.forgotten.IsZero(), !kept)
+	}
+}
+
 // TestGivenUpRequestEndsItsConnection: the upstream sees the end of a request that its
 // caller gave up.
 func TestGivenUpRequestEndsItsConnection(t *testing.T) {
--- a/node/upstream/upstream.go
+++ b/node/upstream/upstream.go
@@ -29,11 +29,7 @@
 	dialect  Dialect
 	presence *presence.Presence
 	leaving  atomic.Bool
-	// renewed is when idle connections were last given up, nanoseconds since
-	// began.
-	renewed atomic.Int64
-	began   time.Time
-	conns   *conns
+	conns    *conns
 }
 
 var _ call.Server = (*Runner)(nil)
@@ -51,8 +47,7 @@
 // NewRunner returns a Runner for an upstream's base URL.
 func NewRunner(base *url.URL, gate *Gate, table *runs.Table, options ...Option) *Runner {
 	u := &Runner{
-		began: time.Now(),
-		base:  base, gate: gate, table: table, dialect: ownDialect{}, presence: presence.Fixed(),
+		base: base, gate: gate, table: table, dialect: ownDialect{}, presence: presence.Fixed(),
 		conns: newConns(hostPort(base)),
 	}
 	for _, option := range options {
@@ -179,25 +174,7 @@
 	}
 	request := newRequest(r, target)
 	u.dialect.Address(request, r, instance, time.Now())
-	e, sent, err = u.conns.exchange(ctx, request, r.Body, !r.Idempotent)
-	if sent && errors.Is(err, context.DeadlineExceeded) {
-		u.renew()
-	}
-	return e, sent, err
-}
-
-// renewPause is the least time between two renewals of the idle connections.
-const renewPause = 500 * time.Millisecond
-
-// renew gives the idle connections up after one gave no answer: what lies between
-// may have lost track of all of them without a word.
-func (u *Runner) renew() {
-	now := int64(time.Since(u.began))
-	last := u.renewed.Load()
-	if now-last < int64(renewPause) || !u.renewed.CompareAndSwap(last, now) {
-		return
-	}
-	u.conns.forget()
+	return u.conns.exchange(ctx, request, r.Body, !r.Idempotent)
 }
 
 // target returns the URL of a request. A target that begins with one slash goes
