Retries: monotonic windows, and one retry of the burst while the fleet is not known

And a daemon that starts took the whole burst for its own until it knew its peers: 84 that restart together could send 4,700 retries at once. Change: windows count from the start of the daemon; until a peer is found, or for 5 s, the own part of the burst is one. A change of the window begins to count anew. Shown: TestFleetThatRestartsKeepsTheBurst, TestWindowMayChange; the steps of the time of day have no test, since a test can't step it.

--- a/core/retry/allowance.go
+++ b/core/retry/allowance.go
@@ -32,20 +32,26 @@
 // It answers the load in which upstreams turn a large part of their requests away,
 // however little they do: what was not used before the trouble is there when it begins.
 type Allowances struct {
-	mu       sync.Mutex
-	daemons  int
+	mu sync.Mutex
+	// began is the time from which windows are counted, by the monotonic clock.
+	began    time.Time
+	daemons  int // 0 while the fleet is not known
 	services map[string]*sends
 }
 
 // sends counts the sends to a service in the parts of a window.
 type sends struct {
-	part          int64 // the part that is counted now, since the zero time
+	length        time.Duration // of a part
+	part          int           // the part that is counted now
 	first, again  [windowParts + 1]int
 	sumFirst, sum int // over all parts: first sends, and sends once more
 }
 
-// NewAllowances returns Allowances that have seen nothing, for a fleet of one daemon.
-func NewAllowances() *Allowances { return &Allowances{daemons: 1, services: map[string]*sends{}} }
+// NewAllowances returns Allowances that have seen nothing. Until Share is called the
+// fleet is not known and the own part of the burst is one retry.
+func NewAllowances(now time.Time) *Allowances {
+	return &Allowances{began: now, services: map[string]*sends{}}
+}
 
 // Share sets the number of daemons among which the burst is shared.
 func (a *Allowances) Share(daemons int) {
@@ -68,7 +74,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	s := a.known(now, service, t)
-	allowed := t.Ratio*float64(s.sumFirst) + float64(t.Burst)/float64(a.daemons)
+	allowed := t.Ratio*float64(s.sumFirst) + a.burstPart(t.Burst)
 	if nested {
 		allowed *= 1 - reserved
 	}
@@ -80,25 +86,34 @@
 	return true
 }
 
+// burstPart returns the own part of a burst. The caller holds the lock.
+func (a *Allowances) burstPart(burst int) float64 {
+	if a.daemons == 0 {
+		return min(float64(burst), 1)
+	}
+	return float64(burst) / float64(a.daemons)
+}
+
 // known returns the counts of a service, moved on to the present part of the window.
 // The caller holds the lock.
 func (a *Allowances) known(now time.Time, service string, t Terms) *sends {
+	length := max(t.Window/windowParts, 1)
 	s := a.services[service]
-	if s == nil {
+	if s == nil || s.length != length {
 		if len(a.services) >= maxNames {
 			clear(a.services)
 		}
-		s = &sends{}
+		s = &sends{length: length}
 		a.services[service] = s
 	}
-	s.advance(now.UnixNano() / max(int64(t.Window)/windowParts, 1))
+	s.advance(int(now.Sub(a.began) / length))
 	return s
 }
 
 // advance forgets the parts that are over. Parts before the present one are ignored.
-func (s *sends) advance(part int64) {
+func (s *sends) advance(part int) {
 	if part-s.part > windowParts {
-		*s = sends{part: part}
+		*s = sends{length: s.length, part: part}
 	}
 	for s.part < part {
 		s.part++
@@ -110,4 +125,4 @@
 }
 
 // index returns the place of the present part.
-func (s *sends) index() int { return int(s.part % (windowParts + 1)) }
+func (s *sends) index() int { return s.part % (windowParts + 1) }
--- a/core/retry/allowance_test.go
+++ b/core/retry/allowance_test.go
@@ -8,6 +8,9 @@
 	"pgregory.net/rapid"
 )
 
+// start is when the daemons of these tests start.
+var start = time.Unix(1_700_000_000, 0)
+
 // TestAllowancesKeepTheTermsOfTheFleet: the retries of all daemons together in any
 // window stay within the burst and the ratio times the first sends of some window, a
 // part longer, that ends in it.
@@ -19,10 +22,10 @@
 		}
 		fleet := make([]*Allowances, rapid.IntRange(1, 6).Draw(t, "daemons"))
 		for i := range fleet {
-			fleet[i] = NewAllowances()
+			fleet[i] = NewAllowances(start)
 			fleet[i].Share(len(fleet))
 		}
-		now := time.Unix(1_700_000_000, 0)
+		now := start
 		var first, again []time.Time
 		for range rapid.IntRange(1, 600).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "ms")) * time.Millisecond)
@@ -62,8 +65,8 @@
 func TestAllowanceOfCalmTimesServesTheTrouble(t *testing.T) {
 	is := is.New(t)
 	terms := Terms{Ratio: 0.1, Window: 10 * time.Second}
-	a := NewAllowances()
-	now := time.Unix(1_700_000_000, 0)
+	a := NewAllowances(start)
+	now := start
 	for range 1000 {
 		now = now.Add(10 * time.Millisecond)
 		a.First(now, "registry", terms)
@@ -83,8 +86,8 @@
 func TestRootsAreNotStarvedByRuns(t *testing.T) {
 	is := is.New(t)
 	terms := Terms{Ratio: 0.1, Window: 10 * time.Second}
-	a := NewAllowances()
-	now := time.Unix(1_700_000_000, 0)
+	a := NewAllowances(start)
+	now := start
 	for range 1000 {
 		a.First(now, "registry", terms)
 	}
@@ -101,12 +104,42 @@
 	terms := Terms{Ratio: 0.1, Burst: 115, Window: 10 * time.Second}
 	taken := 0
 	for range 84 {
-		a := NewAllowances()
+		a := NewAllowances(start)
 		a.Share(84)
-		for a.Take(time.Unix(1_700_000_000, 0), "registry", false, terms) {
+		for a.Take(start, "registry", false, terms) {
 			taken++
 		}
 	}
 	is.True(taken > 0)
 	is.True(taken <= terms.Burst)
 }
+
+// TestFleetThatRestartsKeepsTheBurst: daemons that start together know nothing of each
+// other for a moment; each has one retry of the burst until then.
+func TestFleetThatRestartsKeepsTheBurst(t *testing.T) {
+	is := is.New(t)
+	terms := Terms{Ratio: 0.1, Burst: 115, Window: 10 * time.Second}
+	taken := 0
+	for range 84 {
+		a := NewAllowances(start)
+		for a.Take(start, "registry", false, terms) {
+			taken++
+		}
+	}
+	is.Equal(taken, 84)
+}
+
+// TestWindowMayChange: a new window begins with nothing counted.
+func TestWindowMayChange(t *testing.T) {
+	is := is.New(t)
+	a := NewAllowances(start)
+	a.Share(1)
+	terms := Terms{Ratio: 0.1, Burst: 1, Window: 10 * time.Second}
+	now := start.Add(time.Minute)
+	is.True(a.Take(now, "registry", false, terms))
+	is.True(!a.Take(now, "registry", false, terms))
+	terms.Window = time.Minute
+	is.True(a.Take(now, "registry", false, terms))
+	is.True(!a.Take(now.Add(59*time.Second), "registry", false, terms))
+	is.True(a.Take(now.Add(2*time.Minute), "registry", false, terms))
+}
--- a/node/daemon/farlink.go
+++ b/node/daemon/farlink.go
@@ -9,15 +9,22 @@
 // fleet may use.
 const shareInterval = time.Second
 
+// aloneAfter is the time after which a daemon that has found no peer counts as the
+// only one: peers are found within about a second of a start.
+const aloneAfter = 5 * time.Second
+
 // followShares is the duty that keeps this daemon's shares of the link between
 // regions and of the fleet's retries in step with the settings and the peers.
 func (d *Daemon) followShares(ctx context.Context) {
 	ticker := time.NewTicker(shareInterval)
 	defer ticker.Stop()
-	for now := time.Now(); ; {
+	began := time.Now()
+	for now := began; ; {
 		capacity := d.settings.Current().Document.ServiceValues(d.config.Service).RegionLink
 		d.far.Share(now, capacity, d.picker.InRegion())
-		d.gateway.Share(len(d.shared.members.View().Peers))
+		if peers := len(d.shared.members.View().Peers); peers > 1 || time.Since(began) > aloneAfter {
+			d.gateway.Share(peers)
+		}
 		select {
 		case <-ctx.Done():
 			return
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -72,7 +72,7 @@
 	return &Gateway{
 		Config:     config,
 		owners:     newOwners(config.Place, config.Picker),
-		allowances: retry.NewAllowances(),
+		allowances: retry.NewAllowances(time.Now()),
 		resends:    retry.NewResends(),
 		levels:     newLevels(),
 		returns:    newReturns(),
