Log retries that are denied, and the age by which slots go

Cause: of a call that an upstream turned away the log said that it failed, not that the service's retries were used up; and the line of a request without a slot lacked the age of its root, which decides since. Change: event 514 with the counts of the window; age_ms on 505.

--- a/core/retry/allowance.go
+++ b/core/retry/allowance.go
@@ -69,8 +69,16 @@
 	s.sumFirst++
 }
 
-// Take asks for one retry of a root, or of a nested call. A ratio of 0 allows none.
-func (a *Allowances) Take(now time.Time, service string, nested bool, t Terms) bool {
+// Account is what decided about a retry: the first sends and retries of the window, and
+// the retries that it allows.
+type Account struct {
+	First, Again int
+	Allowed      float64
+}
+
+// Take asks for one retry of a root, or of a nested call, and reports whether it may be
+// made. A ratio of 0 allows none.
+func (a *Allowances) Take(now time.Time, service string, nested bool, t Terms) (Account, bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	s := a.known(now, service, t)
@@ -78,12 +86,13 @@
 	if nested {
 		allowed *= 1 - reserved
 	}
+	account := Account{s.sumFirst, s.sum, allowed}
 	if t.Ratio <= 0 || float64(s.sum+1) > allowed {
-		return false
+		return account, false
 	}
 	s.again[s.index()]++
 	s.sum++
-	return true
+	return account, true
 }
 
 // burstPart returns the own part of a burst. The caller holds the lock.
--- a/core/retry/allowance_test.go
+++ b/core/retry/allowance_test.go
@@ -11,6 +11,11 @@
 // start is when the daemons of these tests start.
 var start = time.Unix(1_700_000_000, 0)
 
+func take(a *Allowances, now time.Time, service string, nested bool, t Terms) bool {
+	_, ok := a.Take(now, service, nested, t)
+	return ok
+}
+
 // TestAllowancesKeepTheTermsOfTheFleet: the retries of all daemons together in any
 // window stay within the burst and the ratio times the first sends of some window, a
 // part longer, that ends in it.
@@ -34,7 +39,7 @@
 			case rapid.Bool().Draw(t, "first"):
 				a.First(now, "registry", terms)
 				first = append(first, now)
-			case a.Take(now, "registry", rapid.Bool().Draw(t, "nested"), terms):
+			case take(a, now, "registry", rapid.Bool().Draw(t, "nested"), terms):
 				again = append(again, now)
 			}
 			most := 0
@@ -75,7 +80,7 @@
 	for range 100 {
 		now = now.Add(10 * time.Millisecond)
 		a.First(now, "registry", terms)
-		if a.Take(now, "registry", false, terms) {
+		if take(a, now, "registry", false, terms) {
 			served++
 		}
 	}
@@ -91,10 +96,10 @@
 	for range 1000 {
 		a.First(now, "registry", terms)
 	}
-	for a.Take(now, "registry", true, terms) {
+	for take(a, now, "registry", true, terms) {
 	}
-	is.True(a.Take(now, "registry", false, terms))
-	is.True(!a.Take(now, "registry", false, Terms{Window: terms.Window}))
+	is.True(take(a, now, "registry", false, terms))
+	is.True(!take(a, now, "registry", false, Terms{Window: terms.Window}))
 }
 
 // TestBurstIsSharedByTheFleet: what may come at once is shared by the daemons, however
@@ -106,7 +111,7 @@
 	for range 84 {
 		a := NewAllowances(start)
 		a.Share(84)
-		for a.Take(start, "registry", false, terms) {
+		for take(a, start, "registry", false, terms) {
 			taken++
 		}
 	}
@@ -122,7 +127,7 @@
 	taken := 0
 	for range 84 {
 		a := NewAllowances(start)
-		for a.Take(start, "registry", false, terms) {
+		for take(a, start, "registry", false, terms) {
 			taken++
 		}
 	}
@@ -136,10 +141,10 @@
 	a.Share(1)
 	terms := Terms{Ratio: 0.1, Burst: 1, Window: 10 * time.Second}
 	now := start.Add(time.Minute)
-	is.True(a.Take(now, "registry", false, terms))
-	is.True(!a.Take(now, "registry", false, terms))
+	is.True(take(a, now, "registry", false, terms))
+	is.True(!take(a, now, "registry", false, terms))
 	terms.Window = time.Minute
-	is.True(a.Take(now, "registry", false, terms))
-	is.True(!a.Take(now.Add(59*time.Second), "registry", false, terms))
-	is.True(a.Take(now.Add(2*time.Minute), "registry", false, terms))
+	is.True(take(a, now, "registry", false, terms))
+	is.True(!take(a, now.Add(59*time.Second), "registry", false, terms))
+	is.True(take(a, now.Add(2*time.Minute), "registry", false, terms))
 }
--- a/node/event/catalogue.go
+++ b/node/event/catalogue.go
@@ -21,7 +21,7 @@
 	LinkClosed         = Event{302, "link-closed", plog.InfoLevel, "A link ended. The field reason says why."}
 	LinkRefused        = Event{303, "link-refused", plog.WarnLevel, "A peer did not prove the link key, or came from outside loopback without one."}
 	LinkMalformed      = Event{304, "link-malformed", plog.WarnLevel, "A frame could not be decoded or broke a rule of the protocol; the link was ended."}
-	LinkNotOpened      = Event{305, "link-not-opened", plog.WarnLevel, "A link to a peer could not be opened. The pause before the next dial doubles up to 2 s; failures gives the dials that failed in a row."}
+	LinkNotOpened      = Event{305, "link-not-opened", plog.WarnLevel, "A link to a peer could not be opened. The pause before the next dial grows up to 2 s; failures gives the dials that failed in a row."}
 	LinkRecovered      = Event{306, "link-recovered", plog.WarnLevel, "A link broke with requests in progress. asked gives those whose answers were asked for on a new link, lost those whose outcome stays unknown."}
 	PeersChanged       = Event{401, "peers-changed", plog.InfoLevel, "The set of known peers changed."}
 	MemberDead         = Event{402, "member-dead", plog.WarnLevel, "An instance of this data centre answered no probe and did not refute its suspicion. It crashed, is paused or is cut off."}
@@ -35,8 +35,9 @@
 	RequestAnswered    = Event{502, "request-answered", plog.InfoLevel, "An upstream's answer to a routed request began."}
 	RequestFailed      = Event{503, "request-failed", plog.WarnLevel, "A routed request ended with an answer of the system's own. refusal, outcome and detail give the cause; settings is the revision it was decided by."}
 	RequestRetried     = Event{504, "request-retried", plog.InfoLevel, "A routed request went to another peer. price says what it cost: free if no upstream had been sent it, else a retry of the budget."}
-	RequestHeld        = Event{505, "request-held", plog.InfoLevel, "A request got no slot at the upstream and was refused. The fields give the load that decided: what ran and waited, the limit, the part that the level lets through."}
+	RequestHeld        = Event{505, "request-held", plog.InfoLevel, "A request got no slot at the upstream and was refused. The fields give the load that decided: what ran and waited, the limit, the part that the level lets through, and the age of the root, by which slots go."}
 	LevelChanged       = Event{506, "level-changed", plog.InfoLevel, "The part of a rank's requests that the upstream's level lets through changed by more than a tenth. The fields give the load that decided."}
+	RetryDenied        = Event{514, "retry-denied", plog.InfoLevel, "A request was not sent once more: the service's retries of the window are used up. first_sends and retries are this daemon's in the window, allowed its part of the fleet's."}
 	UpstreamNews       = Event{512, "upstream-news", plog.InfoLevel, "What the upstream beside this daemon said of itself changed: its instance, phase or slots."}
 	UpstreamNewsOld    = Event{513, "upstream-news-refused", plog.WarnLevel, "A heartbeat was malformed, older than what is known, or of another instance; it changed nothing."}
 	ProcessSettings    = Event{106, "process-settings-changed", plog.InfoLevel, "The file of process settings changed. The fields name what changed; it holds from the next start unless the line says otherwise."}
@@ -56,7 +57,7 @@
 		SettingsInForce, SettingsRefused, SettingsOlder,
 		LinkOpened, LinkClosed, LinkRefused, LinkMalformed, LinkNotOpened, LinkRecovered,
 		PeersChanged, MemberDead, MemberResumed, MemberSuperseded, CentreUnreachable, CentreReachable, MemberRefused,
-		RequestAnswered, RequestFailed, RequestRetried, RequestHeld, LevelChanged, UpstreamNews, UpstreamNewsOld, ProcessSettings, LogLinesLost, LibraryLine,
+		RequestAnswered, RequestFailed, RequestRetried, RetryDenied, RequestHeld, LevelChanged, UpstreamNews, UpstreamNewsOld, ProcessSettings, LogLinesLost, LibraryLine,
 		BadCallerInput, PlatformAway, PlatformBack,
 		ClaimsNotRefreshed, ClaimsNotReleased, UpstreamCrashed, RequestQuarantined,
 	}
--- a/node/gateway/owner.go
+++ b/node/gateway/owner.go
@@ -134,7 +134,7 @@
 	default:
 		return false
 	}
-	if !s.gateway.payRetry(s.request, s.values, s.budget) {
+	if !s.gateway.payRetry(s.request, s.values, answer, s.budget) {
 		return false
 	}
 	s.retarget(peer)
--- a/node/gateway/retries.go
+++ b/node/gateway/retries.go
@@ -28,7 +28,7 @@
 	}
 	switch answer.Refusal {
 	case call.RefusedOverload, call.RefusedDraining, call.RefusedUnreachable, call.RefusedShed:
-		if !g.payRetry(r, values, budget) {
+		if !g.payRetry(r, values, answer, budget) {
 			return false
 		}
 		g.logRetry(r, answer, peer, "budget")
@@ -113,15 +113,33 @@
 	suspect.Learn(g.Suspects, suspect.PrintOf(r), mark)
 }
 
-// payRetry takes one retry from the request's budget and from the service's
-// ratio.
-func (g *Gateway) payRetry(r *call.Request, values *settings.Values, budget *retry.Budget) bool {
-	if budget.Held() == 0 || !g.allowances.Take(time.Now(), r.Service, r.Nested, termsOf(values)) {
+// payRetry takes one retry from the request's budget and from what the service is
+// allowed.
+func (g *Gateway) payRetry(r *call.Request, values *settings.Values, answer *call.Answer, budget *retry.Budget) bool {
+	if budget.Held() == 0 {
+		return false
+	}
+	account, ok := g.allowances.Take(time.Now(), r.Service, r.Nested, termsOf(values))
+	if !ok {
+		g.logDenied(r, answer, account)
 		return false
 	}
 	return budget.Take()
 }
 
+// logDenied writes the line of a request that is not sent once more, since the
+// service's retries are used up.
+func (g *Gateway) logDenied(r *call.Request, answer *call.Answer, account retry.Account) {
+	line := g.Log.LogOften(event.RetryDenied)
+	if line == nil {
+		return
+	}
+	line.Str("request", r.Label).Str("root", r.ID).Str("service", r.Service).Bool("nested", r.Nested).
+		Str("refusal", string(answer.Refusal)).Str("outcome", string(answer.Outcome)).
+		Int("first_sends", account.First).Int("retries", account.Again).Float64("allowed", account.Allowed).
+		Uint64("settings", g.Settings.Current().Revision).Msg("request not sent once more")
+}
+
 // termsOf returns the bounds of the retries of a service.
 func termsOf(v *settings.Values) retry.Terms {
 	return retry.Terms{Ratio: v.RetryRatio, Burst: v.RetryBurst, Window: v.RetryWindow}
--- a/node/upstream/gate.go
+++ b/node/upstream/gate.go
@@ -151,7 +151,7 @@
 	running, queued, limit := g.controller.InFlight(), g.controller.Queued(), g.controller.Limit(time.Now())
 	g.mu.Unlock()
 	g.log.Log(event.RequestHeld).Str("request", r.Label).Str("root", r.ID).Str("rank", r.Rank).Bool("nested", r.Nested).
-		Str("reason", string(reason)).Int64("waited_ms", waited.Milliseconds()).Int64("left_ms", time.Until(r.Deadline).Milliseconds()).
+		Str("reason", string(reason)).Int64("age_ms", ageOf(r).Milliseconds()).Int64("waited_ms", waited.Milliseconds()).Int64("left_ms", time.Until(r.Deadline).Milliseconds()).
 		Int("running", running).Int("queued", queued).Int("limit", limit).Float64("level_pass", level.Pass(worst)).
 		Uint64("settings", g.settings.Current().Revision).Msg("no slot")
 	var a *call.Answer
@@ -168,6 +168,15 @@
 	return a
 }
 
+// ageOf returns the time since a request's root entered the fleet, 0 if that is not
+// known.
+func ageOf(r *call.Request) time.Duration {
+	if r.Began.IsZero() {
+		return 0
+	}
+	return time.Since(r.Began)
+}
+
 // Announce takes the slots that the upstream says it has, and how much longer it
 // stays slow after its start.
 func (g *Gate) Announce(slots int) {
