Test: a slow reader holds the upstream back

What a client does not read stays at the upstream but for sockets' buffers and the stream's credit, and it gets the whole later.

--- a/lab/mesh/mesh_test.go
+++ b/lab/mesh/mesh_test.go
@@ -458,6 +458,54 @@
 	}
 }
 
+// TestSlowReaderHoldsTheUpstreamBack: what a client does not read stays with the upstream
+// but for what sockets and the stream's credit hold; it gets the whole of it later.
+func TestSlowReaderHoldsTheUpstreamBack(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	desk, registry := f.start("desk", "south-1"), f.start("registry", "south-1")
+	const (
+		pieces = 1024
+		piece  = 64 << 10
+		// held bounds what the kernel's buffers of two connections take in.
+		held = 32 << 20
+	)
+	var written atomic.Int64
+	registry.upstream.Answer = func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != "/x/long" {
+			registry.upstream.Whole(w, r)
+			return
+		}
+		w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+		w.Header().Set("X-Response-Signature", "signature")
+		for range pieces {
+			n, err := w.Write(make([]byte, piece))
+			written.Add(int64(n))
+			if err != nil {
+				return
+			}
+		}
+	}
+	f.configure(1, strings.Replace(route("/x/", "download", "registry", 1), `"timeout":"3s"`, `"timeout":"60s"`, 1))
+	desk.await("ready", "/x/1", status(200))
+	request, err := http.NewRequest(http.MethodGet, "http://"+desk.settings.Callers.String()+"/x/long", nil)
+	is.NoErr(err)
+	request.Host = "h.example"
+	request.Header.Set("X-Request-Id", "slow")
+	request.Header.Set("X-Request-Deadline-Ms", "60000")
+	response, err := http.DefaultTransport.RoundTrip(request)
+	is.NoErr(err)
+	defer response.Body.Close()
+	before := int64(-1)
+	for end := time.Now().Add(patience); written.Load() != before && time.Now().Before(end); time.Sleep(300 * time.Millisecond) {
+		before = written.Load()
+	}
+	is.True(written.Load() < held)
+	n, err := io.Copy(io.Discard, response.Body)
+	is.NoErr(err)
+	is.Equal(n, int64(pieces*piece))
+}
+
 // BenchmarkCall measures a call over a link, with both daemons, the client and the
 // upstream in one process.
 func BenchmarkCall(b *testing.B) {
