--- a/lab/meshsim/store.go
+++ b/lab/meshsim/store.go
@@ -47,10 +47,13 @@
 	mu      sync.Mutex
 	trouble Trouble
 	calls   int
+	// leases holds the names that the data has for leases, which are numbers here.
+	leases map[uint64]string
+	last   uint64 // the lease that was given last
 }
 
 // NewStore returns an empty store.
-func NewStore() *Store { return &Store{data: memstore.New()} }
+func NewStore() *Store { return &Store{data: memstore.New(), leases: map[uint64]string{}} }
 
 // Trouble sets how the store misbehaves from now on.
 func (s *Store) Trouble(t Trouble) {
@@ -123,6 +126,12 @@
 		s.watch(w, r)
 	case r.URL.Path == "/api/kv-txn":
 		s.change(w, r)
+	case r.URL.Path == "/api/kv-lease":
+		s.grant(w, r)
+	case strings.HasPrefix(r.URL.Path, "/api/kv-keep/"):
+		s.onLease(w, r, "/api/kv-keep/", s.data.KeepAlive)
+	case strings.HasPrefix(r.URL.Path, "/api/kv-lease-end/"):
+		s.onLease(w, r, "/api/kv-lease-end/", s.data.Revoke)
 	default:
 		http.NotFound(w, r)
 	}
@@ -210,6 +219,7 @@
 	Puts []struct {
 		Key   string `json:"key"`
 		Value string `json:"value"`
+		Lease uint64 `json:"lease"`
 	} `json:"puts"`
 	Remove []string `json:"remove"`
 }
@@ -233,15 +243,67 @@
 	} else {
 		var value []byte
 		if value, err = base64.StdEncoding.DecodeString(body.Puts[0].Value); err == nil {
-			revision, err = s.data.Put(r.Context(), body.Puts[0].Key, value, expected.Revision, "")
+			revision, err = s.data.Put(r.Context(), body.Puts[0].Key, value, expected.Revision, s.lease(body.Puts[0].Lease))
 		}
 	}
 	switch {
 	case errors.Is(err, kv.ErrConflict):
 		write(w, http.StatusPreconditionFailed, object{"items": []object{}})
+	case errors.Is(err, kv.ErrLeaseGone):
+		w.WriteHeader(http.StatusNotFound)
 	case err != nil:
 		w.WriteHeader(http.StatusBadRequest)
 	default:
 		write(w, http.StatusOK, object{"revision": revision})
 	}
 }
+
+// grant makes a lease.
+func (s *Store) grant(w http.ResponseWriter, r *http.Request) {
+	var term struct {
+		TTL string `json:"ttl_time"`
+	}
+	err := json.NewDecoder(r.Body).Decode(&term)
+	ttl, ttlErr := time.ParseDuration(term.TTL)
+	if err != nil || ttlErr != nil || ttl <= 0 {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	name, err := s.data.Grant(r.Context(), ttl)
+	if err != nil {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	s.mu.Lock()
+	s.last++
+	number := s.last
+	s.leases[number] = name
+	s.mu.Unlock()
+	write(w, http.StatusOK, object{"lease": number, "ttl_time": term.TTL})
+}
+
+// noLease is a name that the data has for no lease.
+const noLease = "none"
+
+// lease returns the data's name of a lease, empty for 0.
+func (s *Store) lease(number uint64) string {
+	if number == 0 {
+		return ""
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if name, ok := s.leases[number]; ok {
+		return name
+	}
+	return noLease
+}
+
+// onLease renews or ends the lease that the path names.
+func (s *Store) onLease(w http.ResponseWriter, r *http.Request, prefix string, do func(context.Context, string) error) {
+	number, err := strconv.ParseUint(strings.TrimPrefix(r.URL.Path, prefix), 10, 64)
+	if err != nil || number == 0 || do(r.Context(), s.lease(number)) != nil {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	write(w, http.StatusOK, object{})
+}
