--- a/core/settings/routes_test.go
+++ b/core/settings/routes_test.go
@@ -56,6 +56,18 @@
 	is.Equal(split.Choose(0.999).Values().Timeout, 2*time.Second)
 }
 
+func TestSplitSharesFollowTheWeights(t *testing.T) {
+	is := is.New(t)
+	d, _ := Parse([]byte(routesDocument))
+	split := d.Route("a.example", "/x/y/")
+	const draws = 1000
+	chosen := map[string]int{}
+	for n := range draws {
+		chosen[split.Choose((float64(n)+0.5)/draws).Service]++
+	}
+	is.Equal(chosen, map[string]int{"registry": 900, "desk": 100})
+}
+
 func TestRouteFindings(t *testing.T) {
 	for _, c := range []struct{ route, want string }{
 		{`{"prefix": "/x/", "services": {"a": 1}}`, "no host"},
