--- a/core/admission/queue.go
+++ b/core/admission/queue.go
@@ -22,7 +22,6 @@
 type waiting struct {
 	ticket  Ticket
 	request Request
-	since   time.Time
 	// place orders the requests of a flow, the earliest first.
 	place   time.Time
 	expires time.Time
@@ -99,7 +98,7 @@
 		grants = append(grants, Grant{oldest.ticket, ReasonFull})
 	}
 	c.last++
-	w = &waiting{ticket: c.last, request: r, since: now, place: c.placeOf(now, r), flow: f}
+	w = &waiting{ticket: c.last, request: r, place: c.placeOf(now, r), flow: f}
 	w.expires, w.cause = c.expiryOf(now, r)
 	c.insert(now, k, w)
 	return w, grants
