--- /dev/null
+++ b/node/daemon/watchers_test.go
@@ -0,0 +1,93 @@
+package daemon_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"fuchsiavane.org/node/daemon/daemontest"
+	"fuchsiavane.org/node/kv"
+	"fuchsiavane.org/node/kv/memstore"
+)
+
+// settingsTarget is the time within which an accepted edit is in force everywhere.
+// Source: CONTRIBUTING.md, what to design for.
+const settingsTarget = 6 * time.Second
+
+// ownWay is one instance's way to the store, which can be taken away from it alone.
+type ownWay struct {
+	*memstore.Store
+	watches atomic.Int64
+	away    atomic.Bool
+}
+
+func (w *ownWay) Get(ctx context.Context, key string) (kv.Entry, error) {
+	if w.away.Load() {
+		return kv.Entry{}, kv.ErrUnavailable
+	}
+	return w.Store.Get(ctx, key)
+}
+
+func (w *ownWay) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]kv.Change, uint64, error) {
+	w.watches.Add(1)
+	if w.away.Load() {
+		return nil, 0, kv.ErrUnavailable
+	}
+	return w.Store.Watch(ctx, prefix, after, min(wait, 50*time.Millisecond)) // looks at away again
+}
+
+// TestStoreTurnsTheWatchersAway: the store serves most instances, but not those that
+// watch it for the others. An edit is in force on the others all the same. Day cut-off of
+// tpwax-mesh-grown, seed 15684346966: all eight watchers were turned away for 7 s.
+func TestStoreTurnsTheWatchersAway(t *testing.T) {
+	t.Parallel()
+	store := memstore.New()
+	daemontest.Apply(t, store, `{"settings": {"timeout_ms": 1000}}`)
+	const instances = 5
+	ways := make([]*ownWay, instances)
+	fleet := make([]*daemontest.Instance, instances)
+	var ids []string
+	for i := range fleet {
+		ids = append(ids, fmt.Sprint("registry-", i))
+		ways[i] = &ownWay{Store: store}
+		fleet[i] = daemontest.Start(t, ways[i], daemontest.Options{
+			ID: ids[i], Service: "registry", Upstream: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}),
+		})
+	}
+	for _, instance := range fleet {
+		instance.AwaitPeers(1, ids...)
+	}
+	time.Sleep(time.Second) // the roles settle
+	for _, way := range ways {
+		way.watches.Store(0)
+	}
+	time.Sleep(time.Second)
+	watchers := 0
+	for _, way := range ways {
+		if way.watches.Load() > 0 {
+			way.away.Store(true)
+			watchers++
+		}
+	}
+	if watchers == 0 || watchers == instances {
+		t.Fatalf("%d of %d instances watch", watchers, instances)
+	}
+	time.Sleep(500 * time.Millisecond) // no watch that began before is left
+	daemontest.Apply(t, store, `{"settings": {"timeout_ms": 2000}}`)
+	edited := time.Now()
+	for _, instance := range fleet {
+		for {
+			status, err := instance.Status()
+			if err == nil && status.SettingsRevision >= 2 {
+				break
+			}
+			if time.Since(edited) > settingsTarget {
+				t.Fatalf("revision 2 is not in force after %v, with %d of %d instances turned away", settingsTarget, watchers, instances)
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+}
