Settings: log the source of a revision, failed pulls, and who reads the store

A failed pull from a peer was only counted, only the first of several failed calls to the store was logged, and 201 did not say where a revision came from. Events 206 (settings-pull-failed), 207 (settings-reading) and 606 (store-call-failed) are new, and 201 has the field source. No logic changes.

--- a/node/event/catalogue.go
+++ b/node/event/catalogue.go
@@ -15,11 +15,13 @@
 	LinksLoopbackOnly       = Event{104, "links-loopback-only", plog.WarnLevel, "No link key is set: links are accepted from loopback only. Set -link-key."}
 	PortFailed              = Event{105, "port-failed", plog.ErrorLevel, "A port stopped serving. The daemon ends."}
 	ProcessSettingsIgnored  = Event{109, "process-settings-ignored", plog.ErrorLevel, "Fields of the process settings can't be read. The error lists them with their line and the value that applies instead. The daemon serves; correct the file."}
-	SettingsInForce         = Event{201, "settings-in-force", plog.InfoLevel, "A revision of the settings is in force."}
+	SettingsInForce         = Event{201, "settings-in-force", plog.InfoLevel, "A revision of the settings is in force. source is store, or the address of the peer that sent it."}
 	SettingsRefused         = Event{202, "settings-refused", plog.ErrorLevel, "The store holds invalid settings; the last valid revision stays in force. Apply a corrected document."}
 	SettingsOlder           = Event{203, "settings-older", plog.ErrorLevel, "The store holds an older revision than the one in force, or another edit with the same revision, as after a restore from a backup. The settings in force do not change; apply them again."}
 	SettingsPartlyApplied   = Event{204, "settings-partly-applied", plog.ErrorLevel, "Settings are in force without the parts that this version doesn't know or that break a rule. The error lists them by JSON pointer; count is their number. Everything else in the document applies. Update the daemon, or correct the document."}
 	SettingsUnreadable      = Event{205, "settings-unreadable", plog.ErrorLevel, "The store responds, but the settings in it can't be decoded. revision is in force and stays so."}
+	SettingsPullFailed      = Event{206, "settings-pull-failed", plog.WarnLevel, "A peer has a higher revision of the settings in force, and the pull from it failed. wanted is that revision, revision the one in force here, took_ms the time of the attempt."}
+	SettingsReading         = Event{207, "settings-reading", plog.InfoLevel, "This daemon begins to read the settings from the store for its data centre, or ends it, as reading says."}
 	ConfigurationPartlyRead = Event{605, "configuration-partly-read", plog.ErrorLevel, "The platform's configuration has values that this version doesn't know. Each line of the error names the route or service, the field, the value and the reading that applies instead; count is their number. The rest of the configuration is in force."}
 	LinkOpened              = Event{301, "link-opened", plog.DebugLevel, "A link to a peer is open."}
 	LinkClosed              = Event{302, "link-closed", plog.InfoLevel, "A link was closed. The field reason says why."}
@@ -52,6 +54,7 @@
 	RequestQuarantined      = Event{511, "request-quarantined", plog.ErrorLevel, "A request has crashed two upstreams and is refused with 422 for an hour. Find it by its fingerprint and fix the upstream."}
 	PlatformUnreachable     = Event{601, "platform-away", plog.WarnLevel, "The platform's store can't be read. cause is silent if calls end without a response, and refuses if the store turns them away. The daemon continues with the data that it has."}
 	PlatformReachable       = Event{602, "platform-back", plog.InfoLevel, "The platform's store answers again."}
+	StoreCallFailed         = Event{606, "store-call-failed", plog.WarnLevel, "A call that reads the settings from the platform's store failed. call is its kind, took_ms its time, and revision the settings in force."}
 	ClaimsNotRefreshed      = Event{603, "claims-not-refreshed", plog.WarnLevel, "The claims on keys of non-idempotent requests could not be refreshed. The instance runs such requests until its claims expire; see docs/operations/once.md."}
 	ClaimsNotReleased       = Event{604, "claims-not-released", plog.WarnLevel, "A leaving instance could not release its claims. Requests with the keys that it owned are refused until the claims expire."}
 )
@@ -60,11 +63,11 @@
 func Catalogue() []Event {
 	all := []Event{
 		DaemonStarted, DaemonLeaving, DaemonStopped, LinksLoopbackOnly, PortFailed,
-		SettingsInForce, SettingsRefused, SettingsOlder, SettingsPartlyApplied, SettingsUnreadable, ConfigurationPartlyRead,
+		SettingsInForce, SettingsRefused, SettingsOlder, SettingsPartlyApplied, SettingsUnreadable, SettingsPullFailed, SettingsReading, ConfigurationPartlyRead,
 		LinkOpened, LinkClosed, LinkRefused, LinkMalformed, LinkNotOpened, LinkRecovered, LinkFrameUnknown,
 		PeersChanged, MemberDead, MemberResumed, InstanceDuplicate, DataCentreUnreachable, DataCentreReachable, MemberRefused, MemberUnknown,
 		RequestAnswered, RequestFailed, RequestRetried, RetryDenied, RequestRefused, LevelChanged, UpstreamChanged, HeartbeatIgnored, ProcessSettingsChanged, ProcessSettingsIgnored, LogLinesLost, LibraryLine,
-		RequestMalformed, PlatformUnreachable, PlatformReachable,
+		RequestMalformed, PlatformUnreachable, PlatformReachable, StoreCallFailed,
 		ClaimsNotRefreshed, ClaimsNotReleased, UpstreamCrashed, RequestQuarantined,
 	}
 	slices.SortFunc(all, func(a, b Event) int { return a.Number - b.Number })
--- a/node/settingsync/sync.go
+++ b/node/settingsync/sync.go
@@ -92,10 +92,12 @@
 	refusedRevision uint64 // the last revision that was refused for its findings
 
 	// storeFailure is the last logged failure. unreadable is the error of the settings
-	// in the store until they are replaced by settings that can be decoded. Both are
-	// owned by watchStore.
+	// in the store until they are replaced by settings that can be decoded. These fields
+	// are owned by watchStore.
 	storeFailure storeFailure
 	unreadable   error
+	// reading says whether this member reads the store, as last logged.
+	reading bool
 }
 
 // NewSyncer returns a Syncer.
@@ -132,13 +134,17 @@
 			awayUntil = time.Time{}
 			s.config.Peers.SetStoreAway(ctx, false)
 		}
-		if !s.config.Peers.IsReader(ctx, watchPurpose, WatchersPerDataCentre) {
+		reading := s.config.Peers.IsReader(ctx, watchPurpose, WatchersPerDataCentre)
+		s.logReading(ctx, reading)
+		if !reading {
 			after = 0
 			s.staleStore.Store(0)
 			sleep(ctx, s.roleInterval())
 			continue
 		}
+		start := time.Now()
 		revision, err := s.watchOnce(ctx, after)
+		s.logFailedCall(ctx, after, time.Since(start), err)
 		if errors.Is(err, kv.ErrUnreadable) {
 			s.unreadable = err
 		}
@@ -236,7 +242,7 @@
 	differs := head.Revision == inForce.Revision && head.EditID != inForce.Head.EditID
 	if !older && !differs {
 		s.staleStore.Store(0)
-		s.apply(ctx, head)
+		s.apply(ctx, head, sourceStore)
 		return
 	}
 	if s.staleStore.Swap(head.Revision+1) == head.Revision+1 {
@@ -246,9 +252,13 @@
 		Msg("the store holds older or different settings than those in force")
 }
 
+// sourceStore is the source of a head that was read from the store. The source of a
+// pulled one is the address of the peer.
+const sourceStore = "store"
+
 // apply puts a head in force if its revision is higher than the one in force, and
 // reports it to the peers.
-func (s *Syncer) apply(ctx context.Context, head edit.Head) {
+func (s *Syncer) apply(ctx context.Context, head edit.Head, source string) {
 	applied, findings := s.config.Holder.Update(head)
 	if !applied {
 		s.refuse(head, findings)
@@ -258,7 +268,8 @@
 		s.config.Log.Log(event.SettingsPartlyApplied).Uint64("revision", head.Revision).Int("count", len(findings)).
 			Err(findings[:min(len(findings), maxLoggedFindings)]).Msg("settings in force without the parts that can't be read")
 	}
-	s.config.Log.Log(event.SettingsInForce).Uint64("revision", head.Revision).Str("edit_id", head.EditID).Msg("settings in force")
+	s.config.Log.Log(event.SettingsInForce).Uint64("revision", head.Revision).Str("edit_id", head.EditID).
+		Str("source", source).Msg("settings in force")
 	s.config.Peers.SetRevision(ctx, head.Revision)
 }
 
@@ -291,8 +302,10 @@
 			}
 			continue
 		}
+		start := time.Now()
 		if err := s.pull(ctx, newest); err != nil {
 			s.countCall("pull_failure")
+			s.logFailedPull(ctx, newest, time.Since(start), err)
 			sleep(ctx, delay.Next())
 		}
 	}
@@ -315,10 +328,20 @@
 	if head.Revision < newest.Revision {
 		return errors.Errorf("settings: the peer at %s has revision %d, not %d", newest.Addr, head.Revision, newest.Revision)
 	}
-	s.apply(ctx, head)
+	s.apply(ctx, head, newest.Addr)
 	return nil
 }
 
+// logFailedPull logs a pull that failed.
+func (s *Syncer) logFailedPull(ctx context.Context, newest member.RevisionSource, took time.Duration, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	s.config.Log.Log(event.SettingsPullFailed).Str("peer", newest.Addr).Uint64("wanted", newest.Revision).
+		Uint64("revision", s.config.Holder.Current().Revision).Int64("took_ms", took.Milliseconds()).Err(err).
+		Msg("settings could not be pulled")
+}
+
 // storeFailure says how reads of the settings from the store fail.
 type storeFailure string
 
@@ -365,6 +388,29 @@
 	}
 }
 
+// logFailedCall logs a failed call to the store, made to watch it after a revision.
+func (s *Syncer) logFailedCall(ctx context.Context, after uint64, took time.Duration, err error) {
+	if err == nil || ctx.Err() != nil {
+		return
+	}
+	call := "watch"
+	if after == 0 {
+		call = "read"
+	}
+	s.config.Log.Log(event.StoreCallFailed).Str("call", call).Int64("took_ms", took.Milliseconds()).
+		Uint64("revision", s.config.Holder.Current().Revision).Err(err).Msg("the settings could not be read from the store")
+}
+
+// logReading logs when this member begins or ends to read the store.
+func (s *Syncer) logReading(ctx context.Context, reading bool) {
+	if ctx.Err() != nil || reading == s.reading {
+		return
+	}
+	s.reading = reading
+	s.config.Log.Log(event.SettingsReading).Bool("reading", reading).Uint64("revision", s.config.Holder.Current().Revision).
+		Msg("reading of the store changed")
+}
+
 // countCall counts a call of a kind in the metrics.
 func (s *Syncer) countCall(kind string) {
 	s.config.Metrics.Counter(`fuchsiavane_settings_calls_total{kind="` + kind + `"}`).Inc()
