--- a/core/member/member_test.go
+++ b/core/member/member_test.go
@@ -395,3 +395,44 @@
 	is.True(known)
 	is.True(!p.Leaving)
 }
+
+// TestMemberReadsWhenItsReadersAreCutOff guards against members that wait for failure
+// detection before they read the store themselves.
+func TestMemberReadsWhenItsReadersAreCutOff(t *testing.T) {
+	const (
+		purpose = "settings watch"
+		readers = 2
+		// limit is the time in which a change has to be in force, 2.5 s, less the time
+		// to read it.
+		limit = 2 * time.Second
+	)
+	for seed := range uint64(20) {
+		is := is.New(t)
+		network := fleet(t, seed+1, 4, "south-1", "south-2")
+		ask := func(node *membertest.Node) bool { return node.Member.IsReader(purpose, readers) }
+		askAll := func() int {
+			count := 0
+			for _, node := range network.Nodes {
+				if node.Record.DataCentre == "south-1" && ask(node) {
+					count++
+				}
+			}
+			return count
+		}
+		for range 100 {
+			network.Run(100 * time.Millisecond)
+			is.Equal(askAll(), readers) // no others while these are in touch
+		}
+		var remaining *membertest.Node
+		for _, node := range network.Nodes {
+			if node.Record.DataCentre == "south-1" && !ask(node) {
+				remaining = node
+			}
+		}
+		network.Cut = func(a, b *membertest.Node) bool {
+			return a.Record.DataCentre == "south-1" && b.Record.DataCentre == "south-1" && (a == remaining) != (b == remaining)
+		}
+		_, reads := network.RunUntil(limit, 100*time.Millisecond, func() bool { askAll(); return ask(remaining) })
+		is.True(reads)
+	}
+}
--- a/lab/soak/proxy.go
+++ b/lab/faultproxy/faultproxy.go
@@ -1,6 +1,9 @@
-package soak
+// Package faultproxy is a TCP proxy on loopback that misbehaves on demand: it delays,
+// resets or silences connections, as networks do.
+package faultproxy
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"sync"
@@ -9,36 +12,43 @@
 	"github.com/pkg/errors"
 )
 
-// fault is what a proxy does to its connections.
-type fault int
+// Fault is what a Proxy does to its connections.
+type Fault int
 
 // Faults.
 const (
-	faultNone fault = iota
-	// faultDelay delays each chunk by delayTime.
-	faultDelay
-	// faultReset resets every connection, including new ones.
-	faultReset
-	// faultSilence forwards nothing and closes nothing, including new connections.
-	faultSilence
-	// faultOneWay forwards requests but no responses.
-	faultOneWay
-	// faultSilenceOpen silences the open connections permanently; new ones work.
-	faultSilenceOpen
-	faultCount
+	// None forwards all bytes.
+	None Fault = iota
+	// Delay delays each chunk by delayTime.
+	Delay
+	// Reset resets every connection, including new ones.
+	Reset
+	// Silence forwards nothing and closes nothing, including new connections.
+	Silence
+	// OneWay forwards requests but no responses.
+	OneWay
+	// SilenceOpen silences the open connections permanently; new ones work.
+	SilenceOpen
+	// Count is the number of faults.
+	Count
 )
 
-// delayTime is the delay of each chunk under faultDelay.
+// String returns the name and number of a fault.
+func (f Fault) String() string {
+	return [...]string{"none", "delay", "reset", "silence", "one way", "forget"}[f] + fmt.Sprintf(" (%d)", int(f))
+}
+
+// delayTime is the delay of each chunk under Delay.
 const delayTime = 150 * time.Millisecond
 
-// proxy forwards the connections of daemons to one server on loopback. It is safe
-// for concurrent use.
-type proxy struct {
+// Proxy forwards connections to one server on loopback. It is safe for concurrent
+// use.
+type Proxy struct {
 	listener net.Listener
 	target   string
 
 	mu          sync.Mutex
-	mode        fault
+	mode        Fault
 	connections map[*connection]struct{}
 }
 
@@ -49,19 +59,21 @@
 	silent bool
 }
 
-func newProxy(to string) (*proxy, error) {
+// New starts a proxy to an address.
+func New(to string) (*Proxy, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, errors.Wrap(err, "proxy")
 	}
-	p := &proxy{listener: l, target: to, connections: map[*connection]struct{}{}}
+	p := &Proxy{listener: l, target: to, connections: map[*connection]struct{}{}}
 	go p.accept()
 	return p, nil
 }
 
-func (p *proxy) addr() string { return p.listener.Addr().String() }
+// Addr returns the address of the proxy.
+func (p *Proxy) Addr() string { return p.listener.Addr().String() }
 
-func (p *proxy) accept() {
+func (p *Proxy) accept() {
 	for {
 		client, err := p.listener.Accept()
 		if err != nil {
@@ -81,22 +93,22 @@
 	}
 }
 
-// setFault sets the fault of the open and new connections.
-func (p *proxy) setFault(mode fault) {
+// SetFault sets the fault of the open and new connections.
+func (p *Proxy) SetFault(mode Fault) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.mode = mode
 	for conn := range p.connections {
 		switch mode {
-		case faultReset:
+		case Reset:
 			reset(conn.client)
 			reset(conn.server)
-		case faultSilenceOpen:
+		case SilenceOpen:
 			conn.silent = true
 		}
 	}
-	if mode == faultSilenceOpen {
-		p.mode = faultNone
+	if mode == SilenceOpen {
+		p.mode = None
 	}
 }
 
@@ -109,17 +121,17 @@
 }
 
 // faultFor returns the fault that applies to a connection now.
-func (p *proxy) faultFor(conn *connection) fault {
+func (p *Proxy) faultFor(conn *connection) Fault {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if conn.silent {
-		return faultSilence
+		return Silence
 	}
 	return p.mode
 }
 
 // copy forwards bytes in one direction and applies the current fault to each chunk.
-func (p *proxy) copy(conn *connection, dst, src net.Conn, response bool) {
+func (p *Proxy) copy(conn *connection, dst, src net.Conn, response bool) {
 	defer func() {
 		_ = dst.Close()
 		_ = src.Close()
@@ -131,19 +143,19 @@
 	for {
 		n, err := src.Read(buffer)
 		switch p.faultFor(conn) {
-		case faultSilence:
+		case Silence:
 			if err == nil {
 				continue
 			}
-		case faultOneWay:
+		case OneWay:
 			if response && err == nil {
 				continue
 			}
-		case faultReset:
+		case Reset:
 			reset(dst)
 			reset(src)
 			return
-		case faultDelay:
+		case Delay:
 			time.Sleep(delayTime)
 		}
 		if n > 0 {
@@ -157,4 +169,5 @@
 	}
 }
 
-func (p *proxy) close() { _ = p.listener.Close() }
+// Close stops accepting connections.
+func (p *Proxy) Close() { _ = p.listener.Close() }
--- a/lab/soak/faults.go
+++ b/lab/soak/faults.go
@@ -1,11 +1,11 @@
 package soak
 
 import (
-	"fmt"
 	"sync"
 	"syscall"
 	"time"
 
+	"fuchsiavane.org/lab/faultproxy"
 	"fuchsiavane.org/lab/meshsim"
 )
 
@@ -29,10 +29,10 @@
 	}
 	group.Wait()
 	s.store.SetFault(meshsim.Healthy)
-	s.storeProxy.setFault(faultNone)
+	s.storeProxy.SetFault(faultproxy.None)
 	s.dropResponses.Store(false)
 	for _, p := range s.proxies {
-		p.setFault(faultNone)
+		p.SetFault(faultproxy.None)
 	}
 }
 
@@ -69,18 +69,18 @@
 		time.Sleep(length)
 		s.store.SetFault(meshsim.Healthy)
 	case 5:
-		mode := fault(1 + source.intN(int(faultCount)-1))
+		mode := faultproxy.Fault(1 + source.intN(int(faultproxy.Count)-1))
 		s.recordFault("way to the store: fault %d for %v", mode, length)
-		s.storeProxy.setFault(mode)
+		s.storeProxy.SetFault(mode)
 		time.Sleep(length)
-		s.storeProxy.setFault(faultNone)
+		s.storeProxy.SetFault(faultproxy.None)
 	case 6:
-		mode := fault(1 + source.intN(int(faultCount)-1))
+		mode := faultproxy.Fault(1 + source.intN(int(faultproxy.Count)-1))
 		s.recordFault("way to the upstream of %s: fault %d for %v", i.name, mode, length)
-		s.during(i, length, func() { upstreamProxy.setFault(mode) }, func() { upstreamProxy.setFault(faultNone) })
+		s.during(i, length, func() { upstreamProxy.SetFault(mode) }, func() { upstreamProxy.SetFault(faultproxy.None) })
 	case 7:
 		s.recordFault("the upstream of %s drains and is replaced", i.name)
-		s.drainUpstream(i, upstreamProxy.addr())
+		s.drainUpstream(i, upstreamProxy.Addr())
 	case 8:
 		s.recordFault("configuration; answers are lost for %v", length)
 		s.configure()
@@ -137,8 +137,3 @@
 	}
 	s.awaitServing(recoveryTimeout)
 }
-
-// String returns the name and number of a fault.
-func (f fault) String() string {
-	return [...]string{"none", "delay", "reset", "silence", "one way", "forget"}[f] + fmt.Sprintf(" (%d)", int(f))
-}
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -17,6 +17,7 @@
 
 	"github.com/pkg/errors"
 
+	"fuchsiavane.org/lab/faultproxy"
 	"fuchsiavane.org/lab/meshsim"
 )
 
@@ -67,9 +68,9 @@
 	config        Config
 	random        *rand.Rand
 	store         *meshsim.Store
-	storeProxy    *proxy
+	storeProxy    *faultproxy.Proxy
 	instances     []*instance
-	proxies       []*proxy     // before the upstreams, by instance
+	proxies       []*faultproxy.Proxy     // before the upstreams, by instance
 	version       atomic.Int64 // of the newest configuration
 	ids           atomic.Int64 // the last number drawn for a request or an upstream
 	dropResponses atomic.Bool  // upstreams run requests and drop some responses
@@ -137,7 +138,7 @@
 		return errors.Wrap(err, "store")
 	}
 	go func() { _ = http.Serve(l, s.store) }() // ends with the process
-	if s.storeProxy, err = newProxy(l.Addr().String()); err != nil {
+	if s.storeProxy, err = faultproxy.New(l.Addr().String()); err != nil {
 		return err
 	}
 	program := s.config.Program
@@ -196,15 +197,15 @@
 	go func() {
 		_ = http.Serve(l, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { s.serve(i, w, r) }))
 	}()
-	upstreamProxy, err := newProxy(l.Addr().String())
+	upstreamProxy, err := faultproxy.New(l.Addr().String())
 	if err != nil {
 		return err
 	}
 	s.proxies = append(s.proxies, upstreamProxy)
-	if err := i.settingsFile(upstreamProxy.addr(), s.storeProxy.addr()); err != nil {
+	if err := i.settingsFile(upstreamProxy.Addr(), s.storeProxy.Addr()); err != nil {
 		return err
 	}
-	s.replaceUpstream(i, upstreamProxy.addr())
+	s.replaceUpstream(i, upstreamProxy.Addr())
 	s.instances = append(s.instances, i)
 	return i.start()
 }
@@ -283,6 +284,6 @@
 	}
 	group.Wait()
 	for _, p := range s.proxies {
-		p.close()
+		p.Close()
 	}
 }
--- a/node/settingsync/sync_test.go
+++ b/node/settingsync/sync_test.go
@@ -31,6 +31,8 @@
 	newest   member.RevisionSource
 	revision uint64
 	changes  chan struct{}
+	// timesAway counts the reports that the store can't be read.
+	timesAway int
 }
 
 func (f *fakePeers) IsReader(context.Context, string, int) bool {
@@ -45,7 +47,14 @@
 	f.watcher = watcher
 }
 
-func (f *fakePeers) SetStoreAway(context.Context, bool) {}
+func (f *fakePeers) SetStoreAway(_ context.Context, away bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if away {
+		f.timesAway++
+	}
+}
+
 func (f *fakePeers) RevisionChanges() <-chan struct{}   { return f.changes }
 
 func (f *fakePeers) HighestRevision() member.RevisionSource {
