CONFIG: calls of the control plane open a connection each

Callers got 404 for seconds for a route that a confirmed change adds, after open connections had gone silent while new ones worked. Cause: the clients of the store, of pulls, of membership streams and of the product's own store protocol kept idle connections; the next call on a silent one waited for its timeout (2.0 s for a read by a new watcher, 1.5 s for a pull, 10 s for a stream).

Such calls are rare: a watch a second at two daemons of a data centre, one pull an edit.

--- a/lab/mesh/silent_test.go
+++ b/lab/mesh/silent_test.go
@@ -2,17 +2,22 @@
 
 import (
 	"context"
+	"fmt"
+	"net/http"
 	"net/http/httptest"
 	"net/netip"
 	"testing"
-	"time"
 
 	"github.com/matryer/is"
 
 	"fuchsiavane.org/lab/faultproxy"
 	"fuchsiavane.org/lab/meshsim"
+	"fuchsiavane.org/lab/platformsim"
 	"fuchsiavane.org/node/edit"
 	"fuchsiavane.org/node/event"
+	"fuchsiavane.org/node/kv"
+	"fuchsiavane.org/node/kv/client"
+	"fuchsiavane.org/node/kv/memstore"
 	"fuchsiavane.org/node/settingsync"
 	"fuchsiavane.org/platform"
 )
@@ -31,20 +36,34 @@
 // TestStoreReadAfterConnectionsWentSilent guards against calls on connections that
 // carry nothing any more, while new connections work.
 func TestStoreReadAfterConnectionsWentSilent(t *testing.T) {
-	is := is.New(t)
-	ctx := context.Background()
-	server := httptest.NewServer(meshsim.NewStore())
-	t.Cleanup(server.Close)
-	proxy := proxyTo(t, server)
-	client := platform.NewStore(&platform.Settings{StoreAddr: netip.MustParseAddrPort(proxy.Addr()), MaxValueBytes: 64}, event.Discard())
-	_, err := client.Put(ctx, "join/a", []byte("1"), 0, "")
-	is.NoErr(err)
-	proxy.SetFault(faultproxy.SilenceOpen)
-	_, err = client.Get(ctx, "join/a")
-	is.NoErr(err)
-	proxy.SetFault(faultproxy.SilenceOpen)
-	_, _, err = client.List(ctx, "join/")
-	is.NoErr(err)
+	clients := map[string]struct {
+		store  http.Handler
+		client func(addr string) (kv.Store, error)
+	}{
+		"users' platform": {meshsim.NewStore(), func(addr string) (kv.Store, error) {
+			return platform.NewStore(&platform.Settings{StoreAddr: netip.MustParseAddrPort(addr), MaxValueBytes: 64}, event.Discard()), nil
+		}},
+		"own protocol": {platformsim.New(memstore.New()), func(addr string) (kv.Store, error) { return client.New("http://" + addr) }},
+	}
+	for name, c := range clients {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			ctx := context.Background()
+			server := httptest.NewServer(c.store)
+			t.Cleanup(server.Close)
+			proxy := proxyTo(t, server)
+			store, err := c.client(proxy.Addr())
+			is.NoErr(err)
+			_, err = store.Put(ctx, "join/a", []byte("1"), 0, "")
+			is.NoErr(err)
+			proxy.SetFault(faultproxy.SilenceOpen)
+			_, err = store.Get(ctx, "join/a")
+			is.NoErr(err)
+			proxy.SetFault(faultproxy.SilenceOpen)
+			_, _, err = store.List(ctx, "join/")
+			is.NoErr(err)
+		})
+	}
 }
 
 // TestSettingsPullAfterConnectionsWentSilent guards against pulls on connections that
@@ -56,13 +75,15 @@
 	server := httptest.NewServer(settingsync.NewExchange(serving, []byte("key")))
 	t.Cleanup(server.Close)
 	proxy := proxyTo(t, server)
-	pulling := settingsync.NewExchange(settingsync.NewHolder(), []byte("key"))
+	holder := settingsync.NewHolder()
+	pulling := settingsync.NewExchange(holder, []byte("key"))
 	for revision := uint64(1); revision <= 3; revision++ {
-		updated, _ := serving.Update(edit.Head{Stamp: edit.Stamp{Revision: revision, At: time.Now()}, Document: []byte("{}")})
+		updated, _ := serving.Update(edit.Head{Stamp: edit.Stamp{Revision: revision, EditID: fmt.Sprint(revision)}, Document: []byte("{}")})
 		is.True(updated)
 		head, err := pulling.Pull(ctx, proxy.Addr())
 		is.NoErr(err)
-		is.Equal(head.Revision, revision)
+		updated, _ = holder.Update(head)
+		is.True(updated)
 		proxy.SetFault(faultproxy.SilenceOpen)
 	}
 }
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -70,10 +70,10 @@
 	store         *meshsim.Store
 	storeProxy    *faultproxy.Proxy
 	instances     []*instance
-	proxies       []*faultproxy.Proxy     // before the upstreams, by instance
-	version       atomic.Int64 // of the newest configuration
-	ids           atomic.Int64 // the last number drawn for a request or an upstream
-	dropResponses atomic.Bool  // upstreams run requests and drop some responses
+	proxies       []*faultproxy.Proxy // before the upstreams, by instance
+	version       atomic.Int64        // of the newest configuration
+	ids           atomic.Int64        // the last number drawn for a request or an upstream
+	dropResponses atomic.Bool         // upstreams run requests and drop some responses
 	startedAt     time.Time
 
 	mu       sync.Mutex
--- a/node/kv/client/client.go
+++ b/node/kv/client/client.go
@@ -16,6 +16,7 @@
 	"github.com/pkg/errors"
 
 	"fuchsiavane.org/node/kv"
+	"fuchsiavane.org/node/oneshot"
 )
 
 // callTimeout bounds a call other than a watch.
@@ -46,7 +47,7 @@
 	}
 	return &Client{
 		base: sling.New().Base(strings.TrimSuffix(baseURL, "/") + "/"),
-		http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: maxHeaderBytes}},
+		http: oneshot.NewClient(0, maxHeaderBytes),
 	}, nil
 }
 
--- a/node/membership/membership.go
+++ b/node/membership/membership.go
@@ -19,6 +19,7 @@
 	"fuchsiavane.org/node/event"
 	"fuchsiavane.org/node/kv"
 	"fuchsiavane.org/node/metrics"
+	"fuchsiavane.org/node/oneshot"
 	"fuchsiavane.org/node/seal"
 )
 
@@ -98,7 +99,7 @@
 	d := &Driver{
 		config:          c,
 		seal:            seal.New(c.Key),
-		client:          &http.Client{Timeout: streamTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: streamIdleTimeout, MaxResponseHeaderBytes: maxResponseHeaderBytes}},
+		client:          oneshot.NewClient(streamTimeout, maxResponseHeaderBytes),
 		counters:        newCounters(c.Metrics),
 		start:           time.Now(),
 		member:          member.New(c.Self, 0, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
--- a/node/membership/stream.go
+++ b/node/membership/stream.go
@@ -25,8 +25,6 @@
 const (
 	// streamTimeout is the timeout of one stream.
 	streamTimeout = 10 * time.Second
-	// streamIdleTimeout is the time after which an unused connection is closed.
-	streamIdleTimeout = 10 * time.Second
 )
 
 // enqueueStream queues a message for the stream workers, or drops it if the queue
--- a/node/settingsync/exchange.go
+++ b/node/settingsync/exchange.go
@@ -14,6 +14,7 @@
 
 	"fuchsiavane.org/core/settings"
 	"fuchsiavane.org/node/edit"
+	"fuchsiavane.org/node/oneshot"
 	"fuchsiavane.org/node/seal"
 )
 
@@ -29,8 +30,6 @@
 const (
 	// exchangeTimeout is the timeout of one exchange with a peer.
 	exchangeTimeout = 1500 * time.Millisecond
-	// exchangeIdleTimeout is the time after which an unused connection is closed.
-	exchangeIdleTimeout = 10 * time.Second
 	// maxRequestBytes and maxResponseBytes are the maximum sizes of the messages.
 	maxRequestBytes  = 1 << 10
 	maxResponseBytes = settings.MaxDocumentBytes + 64<<10
@@ -70,7 +69,7 @@
 	return &Exchange{
 		holder: holder,
 		seal:   seal.New(key),
-		client: &http.Client{Timeout: exchangeTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: exchangeIdleTimeout, MaxResponseHeaderBytes: maxResponseHeaderBytes}},
+		client: oneshot.NewClient(exchangeTimeout, maxResponseHeaderBytes),
 	}
 }
 
--- a/node/settingsync/sync_test.go
+++ b/node/settingsync/sync_test.go
@@ -55,7 +55,7 @@
 	}
 }
 
-func (f *fakePeers) RevisionChanges() <-chan struct{}   { return f.changes }
+func (f *fakePeers) RevisionChanges() <-chan struct{} { return f.changes }
 
 func (f *fakePeers) HighestRevision() member.RevisionSource {
 	f.mu.Lock()
