CONFIG: a watch that fails is followed by a read, not by another watcher

Cause: a failed watch counted as a lost store. The watcher reported itself away, waited for a backoff, and its successor began anew with a read, though only the connection of the watch had failed. Compacted histories (410) took the same way.

Change: after a failed watch the same member reads the head on a new connection, at most every 0.5 s; only a failed read means that the store is away.

TestHeadIsReadAtOnceAfterABrokenWatch failed before (revision 1 in place of 2) and passes; TestStoreReturnsWithoutHerd holds the calls of an outage as before.

--- a/node/settingsync/sync.go
+++ b/node/settingsync/sync.go
@@ -34,6 +34,9 @@
 	// firstHeadInterval is the minimum interval between reads of the store while it
 	// holds no head.
 	firstHeadInterval = 100 * time.Millisecond
+	// minReadInterval is the minimum time between two reads of the head by one member
+	// whose watches fail while its reads succeed.
+	minReadInterval = 500 * time.Millisecond
 	// storeMinBackoff and storeMaxBackoff bound the backoff after a failed call to
 	// the store.
 	storeMinBackoff = 500 * time.Millisecond
@@ -128,7 +131,7 @@
 func (s *Syncer) watchStore(ctx context.Context) {
 	delay := backoff.New(storeMinBackoff, s.config.MaxStoreBackoff, rand.Float64)
 	var after uint64
-	var awayUntil time.Time
+	var awayUntil, lastRead time.Time
 	for ctx.Err() == nil {
 		if !awayUntil.IsZero() && time.Now().After(awayUntil) {
 			awayUntil = time.Time{}
@@ -143,6 +146,9 @@
 			continue
 		}
 		start := time.Now()
+		if after == 0 {
+			lastRead = start
+		}
 		revision, err := s.watchOnce(ctx, after)
 		s.logFailedCall(ctx, after, time.Since(start), err)
 		if errors.Is(err, kv.ErrUnreadable) {
@@ -153,8 +159,14 @@
 		} else {
 			s.logStoreState(ctx, err)
 		}
-		if err != nil && revision == 0 {
+		if err != nil && after != 0 && revision == 0 {
+			// The connection of the watch may have failed alone: a read on a new one
+			// shows whether the store is away.
 			after = 0
+			sleep(ctx, minReadInterval-time.Since(lastRead))
+			continue
+		}
+		if err != nil && revision == 0 {
 			awayUntil = time.Now().Add(storeAwayTime/2 + rand.N(storeAwayTime/2))
 			s.config.Peers.SetStoreAway(ctx, true)
 			sleep(ctx, delay.Next())
