CONFIG: a member that hears of no reader reads the store itself

Cause: the instance learned of it by failure detection alone, a probe and a suspicion of four seconds, while relays of other data centres sent to members that were cut off too. Class: a duty that moves only when its holder is declared dead, under a bound shorter than that.

Ruled out: shorter suspicions, which declare slow members dead; more watchers, which are cut off as well; a watch by every member, which a large fleet can't pay.

Change: messages of a reader say so, readers send beacons in data centres of up to 48 other members, and a member that hears none for 1.5 s reads the store. In a larger data centre failure detection decides as before. A store that is away silences no beacon, so an outage causes no herd. Roles are checked each 0.1 s.

--- a/core/member/member.go
+++ b/core/member/member.go
@@ -32,6 +32,10 @@
 	// announceRemaining counts the gossip intervals in which this member's
 	// settings revision, or the end of a partition, is still announced.
 	announceRemaining int
+	// reading is the last result of IsReader. readerHeard is when this member last
+	// received a message of a reader of its data centre, 0 if it never has.
+	reading     Reading
+	readerHeard time.Duration
 
 	probes        probes
 	schedule      schedule
@@ -41,7 +45,7 @@
 
 // schedule holds the time at which each periodic task is next due.
 type schedule struct {
-	probe, gossip, digest, relay, reconnect, sweep time.Duration
+	probe, gossip, digest, relay, reconnect, sweep, beacon time.Duration
 }
 
 // RevisionSource is a settings revision and the peer address to fetch it from.
@@ -94,6 +98,7 @@
 		m.schedule.gossip = m.now + gossipInterval
 		out = append(out, m.gossip()...)
 	}
+	out = append(out, m.sendBeacons()...)
 	if m.now >= m.schedule.digest {
 		m.schedule.digest = m.now + m.jitter(m.nextDigestInterval())
 		out = append(out, m.digestTo(m.randomEntry(m.localPeers()))...)
@@ -342,7 +347,7 @@
 func (m *Member) message(kind Kind) Message {
 	message := Message{
 		Kind: kind, From: m.self.ID, FromDataCentre: m.self.DataCentre,
-		Incarnation: m.self.Incarnation, Revision: m.self.Revision,
+		Incarnation: m.self.Incarnation, Revision: m.self.Revision, Reading: m.reading,
 	}
 	if kind <= KindGossip {
 		message.Contacts = m.contacts()
--- a/core/member/message.go
+++ b/core/member/message.go
@@ -62,6 +62,8 @@
 	Records []Record `cbor:"16,keyasint,omitempty"`
 	// WantReply asks for the receiver's records of the same buckets.
 	WantReply bool `cbor:"17,keyasint,omitempty"`
+	// Reading says whether the sender reads the platform's store for its data centre.
+	Reading Reading `cbor:"18,keyasint,omitempty"`
 }
 
 // Contact is the time since a data centre last answered a relay.
--- a/core/member/receive.go
+++ b/core/member/receive.go
@@ -18,6 +18,7 @@
 		return out
 	}
 	m.mergeSender(from, message)
+	m.recordReader(message)
 	for i := range message.Updates {
 		if m.merge(&message.Updates[i]) {
 			m.enqueueUpdate(&message.Updates[i])
--- a/core/member/relay.go
+++ b/core/member/relay.go
@@ -18,24 +18,6 @@
 	return m.chosenIn(m.self.DataCentre, purpose, n, isLeaving)
 }
 
-// IsReader reports whether this member is one of the n members of this data centre that
-// read the platform's store for the others. Members that can't read it are chosen only
-// if no member can, and leaving members only if there are no others: after a start, all
-// are leaving until their upstreams have announced themselves.
-func (m *Member) IsReader(purpose string, n int) bool {
-	for _, skip := range []func(*Record) bool{
-		func(r *Record) bool { return r.Leaving || r.StoreAway },
-		func(r *Record) bool { return r.StoreAway },
-		isLeaving,
-		func(*Record) bool { return false },
-	} {
-		if ids := m.chosenIn(m.self.DataCentre, purpose, n, skip); len(ids) > 0 {
-			return slices.Contains(ids, m.self.ID)
-		}
-	}
-	return false
-}
-
 // IsChosen reports whether this member is among the members that Chosen
 // returns.
 func (m *Member) IsChosen(purpose string, n int) bool {
--- a/core/member/timing.go
+++ b/core/member/timing.go
@@ -57,6 +57,15 @@
 	// counts as unreachable.
 	unreachableAfter = 15 * time.Second
 
+	// beaconInterval is the minimum interval of the beacons of a reader, and
+	// beaconSpacing bounds their rate: the interval is as many times longer as the
+	// data centre has other members.
+	beaconInterval = 500 * time.Millisecond
+	beaconSpacing  = 50 * time.Millisecond
+	// readerSilence is the time without a message of a reader after which a member
+	// reads the store itself. Two readers send beacons, and a datagram may be lost.
+	readerSilence = 1500 * time.Millisecond
+
 	// reconnectInterval is the mean time between attempts to reach a dead
 	// member.
 	reconnectInterval = 2 * time.Second
@@ -84,6 +93,11 @@
 	// maxUpdateBytes bounds the updates in one message, so that the message
 	// fits a datagram of 1,200 bytes.
 	maxUpdateBytes = 700
+	// maxBeaconMembers is the largest number of other members of a data centre to which
+	// readers send beacons. maxSilenceMembers is the largest number with which a member
+	// relies on them; it is lower, since views differ.
+	maxBeaconMembers  = 48
+	maxSilenceMembers = 32
 	// maxQueuedUpdates bounds the queued updates.
 	maxQueuedUpdates = 24
 	// maxContactAge is the upper bound of Contact.Age, in units of ageUnit.
--- a/node/membership/membership.go
+++ b/node/membership/membership.go
@@ -233,8 +233,8 @@
 // changed.
 func (d *Driver) RevisionChanges() <-chan struct{} { return d.revisionChanges }
 
-// IsReader reports whether this member is one of the n members of its data centre that
-// read the store for a purpose.
+// IsReader reports whether this member reads the store for a purpose: it is one of the n
+// members of its data centre that are chosen, or it hears of no reader.
 func (d *Driver) IsReader(ctx context.Context, purpose string, n int) bool {
 	chosen, _ := query(ctx, d, func(m *member.Member) bool { return m.IsReader(purpose, n) })
 	return chosen
--- a/node/settingsync/sync.go
+++ b/node/settingsync/sync.go
@@ -28,7 +28,10 @@
 	// watchTimeout is the maximum wait of one watch call to the store.
 	watchTimeout = 30 * time.Second
 	// roleInterval is the interval at which a member checks whether it is a watcher.
-	roleInterval = 500 * time.Millisecond
+	roleInterval = 100 * time.Millisecond
+	// revisionInterval is the maximum interval at which a member checks whether a peer
+	// has a higher revision.
+	revisionInterval = 500 * time.Millisecond
 	// startRoleInterval is used in place of roleInterval until settings are in force.
 	startRoleInterval = 50 * time.Millisecond
 	// firstHeadInterval is the minimum interval between reads of the store while it
@@ -53,9 +56,9 @@
 
 // Peers is the part of the membership that a Syncer uses.
 type Peers interface {
-	// IsReader reports whether this member is one of the n members of its data centre
-	// that read the store for a purpose. Members whose store is away are chosen only if
-	// that is true of all.
+	// IsReader reports whether this member reads the store for a purpose: it is one of
+	// the n members of its data centre that are chosen, or it hears of no reader.
+	// Members whose store is away are chosen only if that is true of all.
 	IsReader(ctx context.Context, purpose string, n int) bool
 	// SetStoreAway reports to the peers whether this member can't read the store.
 	SetStoreAway(ctx context.Context, away bool)
@@ -310,7 +313,7 @@
 			select {
 			case <-ctx.Done():
 			case <-s.config.Peers.RevisionChanges():
-			case <-time.After(roleInterval):
+			case <-time.After(revisionInterval):
 			}
 			continue
 		}
