Settings: a watch goes on from the store's revision of the read

What callers saw: nothing yet; found while the cause of the late changes was looked for elsewhere. Cause: a watcher began its watch at the revision of the head.

Change: Get returns the store's revision of the read, and the watch begins there.

--- a/lab/meshsim/store.go
+++ b/lab/meshsim/store.go
@@ -159,7 +159,7 @@
 		return
 	}
 	body := newItem(entry)
-	body["at_rev"] = entry.Revision
+	body["at_rev"] = entry.StoreRevision
 	writeJSON(w, http.StatusOK, body)
 }
 
--- a/node/edit/edit.go
+++ b/node/edit/edit.go
@@ -114,19 +114,28 @@
 
 // Read returns the head in force and the store's revision of HeadKey.
 func Read(ctx context.Context, store kv.Store) (Head, uint64, error) {
-	return readHead(ctx, store, HeadKey)
+	head, entry, err := readHead(ctx, store, HeadKey)
+	return head, entry.Revision, err
 }
 
-func readHead(ctx context.Context, store kv.Store, key string) (Head, uint64, error) {
+// ReadToWatch returns the head in force and the revision of the store after which to
+// watch for the next one. The revision of HeadKey may be older than the history that
+// the store keeps for watches.
+func ReadToWatch(ctx context.Context, store kv.Store) (Head, uint64, error) {
+	head, entry, err := readHead(ctx, store, HeadKey)
+	return head, max(entry.Revision, entry.StoreRevision), err
+}
+
+func readHead(ctx context.Context, store kv.Store, key string) (Head, kv.Entry, error) {
 	entry, err := store.Get(ctx, key)
 	if errors.Is(err, kv.ErrUnreadable) {
-		return Head{}, entry.Revision, err
+		return Head{}, entry, err
 	}
 	if err != nil {
-		return Head{}, 0, err
+		return Head{}, kv.Entry{}, err
 	}
 	head, err := Decode(entry.Value)
-	return head, entry.Revision, errors.Wrapf(err, "key %s", key)
+	return head, entry, errors.Wrapf(err, "key %s", key)
 }
 
 // Edit is an edit for Commit.
--- a/node/edit/history.go
+++ b/node/edit/history.go
@@ -28,12 +28,12 @@
 	}
 	key := historyKey(head.Revision)
 	for attempt := 1; ; attempt++ {
-		stored, storeRevision, err := readHead(ctx, store, key)
+		stored, entry, err := readHead(ctx, store, key)
 		if err == nil && stored.Revision >= head.Revision {
 			return nil
 		}
 		if err == nil || errors.Is(err, kv.ErrNotFound) {
-			_, err = store.Put(ctx, key, value, storeRevision, "")
+			_, err = store.Put(ctx, key, value, entry.Revision, "")
 		}
 		if err == nil {
 			return nil
--- a/node/kv/kv.go
+++ b/node/kv/kv.go
@@ -38,6 +38,9 @@
 	Value []byte
 	// Revision is the store's revision at the last write of the key.
 	Revision uint64
+	// StoreRevision is the store's revision when Get read the key, from which a watch
+	// goes on; 0 if the store doesn't tell.
+	StoreRevision uint64
 }
 
 // Change is one event of a watch: a written or deleted key.
--- a/node/kv/memstore/memstore.go
+++ b/node/kv/memstore/memstore.go
@@ -60,7 +60,7 @@
 	if !ok {
 		return kv.Entry{}, kv.ErrNotFound
 	}
-	return kv.Entry{Key: key, Value: r.value, Revision: r.revision}, nil
+	return kv.Entry{Key: key, Value: r.value, Revision: r.revision, StoreRevision: s.revision}, nil
 }
 
 // Put implements kv.Store.
--- a/node/settingsync/sync.go
+++ b/node/settingsync/sync.go
@@ -226,7 +226,7 @@
 // readHead applies the head in the store and returns the revision to watch from.
 func (s *Syncer) readHead(ctx context.Context) (uint64, error) {
 	s.countCall("read")
-	head, revision, err := edit.Read(ctx, s.config.Store)
+	head, revision, err := edit.ReadToWatch(ctx, s.config.Store)
 	if errors.Is(err, kv.ErrNotFound) {
 		return 0, s.awaitFirstHead(ctx)
 	}
