LIMIT: an upstream gets no more requests a second than it names

Cause: nothing read the header. Class: what an upstream says of itself in its answers was passed on and not heard; only heartbeats were.

Ruled out: a limit that each daemon keeps for itself, as all requests for an upstream go through the daemon beside it. That a restarted daemon forgets the limit holds and would let its queue through at once, so until the first answer, or for 0.5 s, an upstream gets four slots.

Change: package rate, a token bucket; the admission controller takes a token with a slot, and waits, refusals, levels and the load that peers place by count with it. Event 515, metric fuchsiavane_upstream_rate_limit.

--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -18,6 +18,7 @@
 
 	"fuchsiavane.org/core/level"
 	"fuchsiavane.org/core/limit"
+	"fuchsiavane.org/core/rate"
 )
 
 // Verdict says whether an offered request is admitted, queued or refused.
@@ -144,7 +145,9 @@
 	config     Config
 	lastTicket Ticket
 	limiter    *limit.Limiter
-	meter      *level.Meter
+	// rate bounds the runs in a time if the upstream names such a limit.
+	rate  rate.Bucket
+	meter *level.Meter
 	// governor computes the levels in place of meter if Config.Announced is set.
 	governor *level.Governor
 	// finishedRuns counts the runs that ended since the last step of governor, and
@@ -196,6 +199,31 @@
 	return c.fillSlots(now)
 }
 
+// SetRateLimit bounds the runs that begin in a second, and returns the outcomes of
+// queued requests that follow from it. 0 ends the bound.
+func (c *Controller) SetRateLimit(now time.Time, perSecond float64) []Grant {
+	if perSecond == 0 {
+		c.rate.Clear()
+	} else {
+		c.rate.SetLimit(now, perSecond)
+	}
+	return c.fillSlots(now)
+}
+
+// RateLimit returns the bound that SetRateLimit has set, in runs per second; 0 if there
+// is none.
+func (c *Controller) RateLimit() float64 { return c.rate.PerSecond() }
+
+// Capacity returns how many requests the upstream works on at a time: Limit, or fewer
+// if fewer than Limit are in progress at the rate that the upstream takes.
+func (c *Controller) Capacity(now time.Time) int {
+	slots := c.limiter.Limit(now)
+	if !c.rate.Limited() || c.runTime.meanSeconds == 0 {
+		return slots
+	}
+	return max(1, min(slots, int(c.rate.PerSecond()*c.runTime.meanSeconds)))
+}
+
 // Offer requests a slot for r.
 func (c *Controller) Offer(now time.Time, r Request) Decision {
 	c.advance(now)
--- a/core/admission/aged.go
+++ b/core/admission/aged.go
@@ -69,13 +69,14 @@
 // queued requests that come before it.
 func (c *Controller) estimateWait(now time.Time, r Request) time.Duration {
 	key := crossRankKey(r.Rank, c.sortKeyOf(now, r))
-	ahead := len(c.running) - c.limiter.Limit(now) + 1
+	ahead := 0
 	for rank, k := range c.ranks {
 		for e := k.flows[0].requests.Front(); e != nil && !crossRankKey(rank, e.Value.(*queuedRequest).sortKey).After(key); e = e.Next() {
 			ahead++
 		}
 	}
-	return c.timeToServe(now, ahead)
+	free := c.limiter.Limit(now) - len(c.running)
+	return max(c.timeToServe(now, ahead+1-free), c.rate.Wait(now, ahead+1))
 }
 
 // timeToServe returns the time until a number of queued requests have got their slots.
@@ -122,7 +123,7 @@
 	c.usage.slotSecondsUsed, c.usage.slotSecondsAllowed = 0, 0
 	c.governor.Step(now, level.StepStats{
 		Finished: c.finishedRuns, Utilization: used,
-		Wait: c.timeToServe(now, c.minWaiting), Target: max(minTargetWait, c.MeanRunTime()/2),
+		Wait: max(c.timeToServe(now, c.minWaiting), c.rate.Wait(now, c.minWaiting)), Target: max(minTargetWait, c.MeanRunTime()/2),
 	})
 	c.finishedRuns, c.minWaiting = 0, len(c.waiting)
 }
--- a/core/admission/share.go
+++ b/core/admission/share.go
@@ -179,6 +179,7 @@
 			grants = append(grants, Grant{w.ticket, ReasonDeadline})
 			continue
 		}
+		c.rate.Take(now)
 		c.running[w.ticket] = runningRequest{i}
 		c.ranks[i].running++
 		c.ranks[i].granted++
@@ -202,7 +203,7 @@
 func (c *Controller) chooseRank(now time.Time) (int, bool) {
 	slots := c.limiter.Limit(now)
 	free := slots - len(c.running)
-	if free <= 0 || len(c.waiting) == 0 {
+	if free <= 0 || len(c.waiting) == 0 || !c.rate.Available(now) {
 		return 0, false
 	}
 	if c.config.Announced {
--- a/node/daemon/daemon.go
+++ b/node/daemon/daemon.go
@@ -148,6 +148,7 @@
 	d.metrics.Gauge("fuchsiavane_request_body_bytes_peak", func() float64 { _, peak := d.bodies.Used(); return float64(peak) })
 	d.metrics.Gauge("fuchsiavane_queued", func() float64 { _, queued := d.gate.Occupancy(); return float64(queued) })
 	d.metrics.Gauge("fuchsiavane_limit", func() float64 { return float64(d.gate.Limit()) })
+	d.metrics.Gauge("fuchsiavane_upstream_rate_limit", d.gate.RateLimit)
 	d.metrics.Gauge("fuchsiavane_refused_part", d.gate.RefusedFraction)
 	return d, nil
 }
--- a/node/daemon/presence.go
+++ b/node/daemon/presence.go
@@ -30,6 +30,9 @@
 		if state.Instance == known.Instance && state.StartedAt == known.StartedAt && state.Phase == known.Phase && state.Slots == known.Slots {
 			continue
 		}
+		if state.Instance != known.Instance || state.StartedAt != known.StartedAt {
+			d.gate.ForgetRateLimit(time.Now())
+		}
 		known = state
 		d.log.Log(event.UpstreamChanged).Str("upstream", state.Instance).Str("phase", string(state.Phase)).Int("slots", state.Slots).
 			Str("version", state.Version).Uint64("sequence", state.Sequence).Int64("cold_ms", state.WarmUpRemaining.Milliseconds()).
--- a/node/event/catalogue.go
+++ b/node/event/catalogue.go
@@ -47,6 +47,7 @@
 	LevelChanged            = Event{506, "level-changed", plog.InfoLevel, "The fraction of a rank's requests that the upstream's admission level admits changed by more than a tenth. The fields give the load at the decision."}
 	RetryDenied             = Event{514, "retry-denied", plog.InfoLevel, "A request was not retried: the retry budget of its service is used up for this window. first_sends and retries are this daemon's counts in the window, allowed is its share of the fleet's retry budget."}
 	UpstreamChanged         = Event{512, "upstream-news", plog.InfoLevel, "The instance, phase or slots of this daemon's upstream changed."}
+	UpstreamLimit           = Event{515, "upstream-limit", plog.InfoLevel, "The limit that this daemon's upstream names in its answers changed. per_second is the number of requests that it takes in a second from all callers together, 0 if it names no limit any more. Requests wait for it, or are refused, as for a slot."}
 	HeartbeatIgnored        = Event{513, "upstream-news-refused", plog.WarnLevel, "A heartbeat was ignored: it was malformed, older than the last one accepted, or from another instance."}
 	ProcessSettingsChanged  = Event{106, "process-settings-changed", plog.InfoLevel, "The file of process settings changed. The fields name what changed; changes apply from the next start unless the line says otherwise."}
 	LogLinesLost            = Event{107, "log-lines-lost", plog.WarnLevel, "Log lines were dropped because they were written faster than they could be read, or too often for their kind. count gives the number dropped since the last such line; warnings and errors are dropped last."}
@@ -66,7 +67,7 @@
 		SettingsInForce, SettingsRefused, SettingsOlder, SettingsPartlyApplied, SettingsUnreadable, SettingsPullFailed, SettingsReading, ConfigurationPartlyRead,
 		LinkOpened, LinkClosed, LinkRefused, LinkMalformed, LinkNotOpened, LinkRecovered, LinkFrameUnknown,
 		PeersChanged, MemberDead, MemberResumed, InstanceDuplicate, DataCentreUnreachable, DataCentreReachable, MemberRefused, MemberUnknown,
-		RequestAnswered, RequestFailed, RequestRetried, RetryDenied, RequestRefused, LevelChanged, UpstreamChanged, HeartbeatIgnored, ProcessSettingsChanged, ProcessSettingsIgnored, LogLinesLost, LibraryLine,
+		RequestAnswered, RequestFailed, RequestRetried, RetryDenied, RequestRefused, LevelChanged, UpstreamChanged, UpstreamLimit, HeartbeatIgnored, ProcessSettingsChanged, ProcessSettingsIgnored, LogLinesLost, LibraryLine,
 		RequestMalformed, PlatformUnreachable, PlatformReachable, StoreCallFailed,
 		ClaimsNotRefreshed, ClaimsNotReleased, UpstreamCrashed, RequestQuarantined,
 	}
--- a/node/upstream/dialect.go
+++ b/node/upstream/dialect.go
@@ -34,6 +34,16 @@
 	SetHeaders(httpRequest *http.Request, r *call.Request, instance string, now time.Time)
 	// Classify returns the verdict on a response to the request.
 	Classify(r *call.Request, response *http.Response) Verdict
+	// Signals returns what a response says of the upstream itself.
+	Signals(response *http.Response) Signals
+}
+
+// Signals is what an upstream says of itself in a response.
+type Signals struct {
+	// Limited is set if the upstream names RateLimit, the requests per second that it
+	// takes from all callers together.
+	Limited   bool
+	RateLimit float64
 }
 
 // defaultDialect is the default Dialect: the context header of core/callctx, which the
@@ -55,6 +65,10 @@
 // Classify implements Dialect.
 func (defaultDialect) Classify(*call.Request, *http.Response) Verdict { return VerdictRan }
 
+// Signals implements Dialect. Upstreams with the default convention say nothing of
+// themselves.
+func (defaultDialect) Signals(*http.Response) Signals { return Signals{} }
+
 // notRunError is a response which says that the upstream did not run the request.
 type notRunError struct {
 	refusal    call.Refusal
@@ -77,6 +91,9 @@
 // response belongs to another request.
 func (u *Runner) checkResponse(r *call.Request, e *exchange, instance string) error {
 	verdict := u.dialect.Classify(r, e.response)
+	if verdict == VerdictRan || verdict == VerdictShed {
+		u.recordSignals(instance, u.dialect.Signals(e.response))
+	}
 	if verdict == VerdictRan {
 		return nil
 	}
@@ -93,3 +110,13 @@
 	}
 	return &notRunError{call.RefusedUpstreamShed, "the upstream refused the request", shedRetryAfter}
 }
+
+// recordSignals applies what an instance has said of itself in a response, unless
+// another instance has taken its place since.
+func (u *Runner) recordSignals(instance string, s Signals) {
+	now := time.Now()
+	if u.presence.Current(now).Instance != instance {
+		return
+	}
+	u.gate.RecordRateLimit(now, s.RateLimit, s.Limited)
+}
--- a/node/upstream/gate.go
+++ b/node/upstream/gate.go
@@ -8,6 +8,7 @@
 
 	"fuchsiavane.org/core/admission"
 	"fuchsiavane.org/core/level"
+	"fuchsiavane.org/core/rate"
 	"fuchsiavane.org/core/route"
 	"fuchsiavane.org/node/call"
 	"fuchsiavane.org/node/event"
@@ -30,6 +31,14 @@
 // upstream may slow down when all its slots are taken.
 const usableFraction = 0.95
 
+const (
+	// unheardSlots bounds the slots of an upstream that announces them until its first
+	// answer, which may name a rate limit that an earlier daemon knew.
+	unheardSlots = 4
+	// firstAnswerTimeout bounds the time for which unheardSlots applies.
+	firstAnswerTimeout = 500 * time.Millisecond
+)
+
 // Gate wraps the admission controller of the upstream: requests block in Acquire
 // until they get a slot or are refused. It is safe for concurrent use.
 type Gate struct {
@@ -37,11 +46,16 @@
 	settings *settingsync.Holder
 	log      *event.Logger
 
-	mu              sync.Mutex
-	controller      *admission.Controller
-	revision        uint64
-	announcedSlots  int // 0 if the upstream announces none
-	configuredAt    time.Time
+	mu             sync.Mutex
+	controller     *admission.Controller
+	revision       uint64
+	announcedSlots int // 0 if the upstream announces none
+	configuredAt   time.Time
+	limitNamed     time.Time // when the upstream last named a rate limit
+	// firstOffer is when the first request came. heard is set once the upstream has
+	// answered, or firstAnswerTimeout after firstOffer.
+	firstOffer      time.Time
+	heard           bool
 	waiting         map[admission.Ticket]chan admission.Reason
 	loggedFractions []float64 // admitted fraction by rank, as last logged
 	// wake contains a token if a request was queued since the last update.
@@ -98,6 +112,9 @@
 	now := time.Now()
 	rank := g.settings.Current().Document.RankIndex(r.Rank)
 	g.mu.Lock()
+	if g.firstOffer.IsZero() {
+		g.firstOffer = now
+	}
 	g.reconfigure(now)
 	d := g.controller.Offer(now, admission.Request{
 		ID: r.ID, Rank: rank, Caller: r.Caller, Deadline: r.Deadline, Timestamp: r.Timestamp, Nested: r.Nested,
@@ -196,6 +213,64 @@
 	g.deliverGrants(g.controller.Configure(now, g.config(now)))
 }
 
+// rateLimitRetention is the time after an answer that names a rate limit in which
+// answers that name none don't end it, since answers may overtake each other.
+const rateLimitRetention = 500 * time.Millisecond
+
+// RecordRateLimit records whether an answer of the upstream names a rate limit, and
+// which, in requests per second.
+func (g *Gate) RecordRateLimit(now time.Time, perSecond float64, named bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	switch {
+	case named:
+		g.limitNamed = now
+		g.setRateLimit(now, max(perSecond, rate.MinPerSecond))
+	case now.Sub(g.limitNamed) >= rateLimitRetention:
+		g.setRateLimit(now, 0)
+	}
+	g.setHeard(now) // after the limit, which the queued requests must meet
+}
+
+// setHeard ends the bound of the slots before the first answer. The caller holds the
+// lock.
+func (g *Gate) setHeard(now time.Time) {
+	if g.heard {
+		return
+	}
+	g.heard = true
+	g.deliverGrants(g.controller.Configure(now, g.config(now)))
+}
+
+// ForgetRateLimit ends the rate limit, because another upstream has taken the place of
+// the one that named it.
+func (g *Gate) ForgetRateLimit(now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.limitNamed = time.Time{}
+	g.setRateLimit(now, 0)
+}
+
+// setRateLimit sets the rate limit; 0 ends it. The caller holds the lock.
+func (g *Gate) setRateLimit(now time.Time, perSecond float64) {
+	if perSecond == g.controller.RateLimit() {
+		return
+	}
+	if line := g.log.LogRateLimited(event.UpstreamLimit); line != nil {
+		line.Float64("per_second", perSecond).Float64("before", g.controller.RateLimit()).
+			Int("running", g.controller.InFlight()).Int("queued", g.controller.Queued()).Msg("rate limit of the upstream changed")
+	}
+	g.deliverGrants(g.controller.SetRateLimit(now, perSecond))
+}
+
+// RateLimit returns the rate limit that the upstream names, in requests per second; 0
+// if it names none.
+func (g *Gate) RateLimit() float64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.controller.RateLimit()
+}
+
 // Level returns the admission level of a rank at this upstream.
 func (g *Gate) Level(rank string) level.Level {
 	index := g.settings.Current().Document.RankIndex(rank)
@@ -246,6 +321,9 @@
 func (g *Gate) update(now time.Time) time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if !g.firstOffer.IsZero() && now.Sub(g.firstOffer) > firstAnswerTimeout {
+		g.setHeard(now)
+	}
 	g.reconfigure(now)
 	g.deliverGrants(g.controller.Expire(now))
 	g.logLevels(now)
@@ -291,7 +369,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	c := g.controller
-	return route.Load{Outstanding: c.InFlight() + c.Queued(), Slots: c.Limit(time.Now()), ServiceTime: c.MeanRunTime()}
+	return route.Load{Outstanding: c.InFlight() + c.Queued(), Slots: c.Capacity(time.Now()), ServiceTime: c.MeanRunTime()}
 }
 
 // Limit returns the number of requests that may run concurrently.
@@ -342,6 +420,9 @@
 	shares := document.SharesAt(g.service, now)
 	if g.announcedSlots > 0 {
 		v.Slots = max(1, int(usableFraction*float64(g.announcedSlots)))
+		if !g.heard {
+			v.Slots = min(v.Slots, unheardSlots)
+		}
 	}
 	config := admission.Config{Announced: g.announcedSlots > 0, Slots: v.Slots, Connections: v.Connections, QueueTimeout: v.QueueTimeout, SlowStart: v.SlowStart}
 	for i, rank := range document.Ranks() {
