DRAIN: an upstream whose answers say that it leaves gets nothing new

An upstream that leaves says so in its answers too (Server-Leaving), and only its heartbeats were heard, which may come seconds late.

Change: an answer that says so counts as a draining heartbeat of that incarnation; later ready heartbeats of it are stale, as after a notice of leaving.

TestUpstreamThatLeavesByItsAnswersGetsNothingNew failed before (200 in place of 503) and passes.

--- a/lab/mesh/limit_test.go
+++ b/lab/mesh/limit_test.go
@@ -93,3 +93,25 @@
 	is.True(seen.most(named, window) <= most)
 	is.True(len(seen.times) >= limit*int(window/time.Second)) // it is used
 }
+
+// TestUpstreamThatLeavesByItsAnswersGetsNothingNew guards against requests to an
+// upstream whose answers say that it leaves, while its heartbeats still say ready.
+func TestUpstreamThatLeavesByItsAnswersGetsNothingNew(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	desk, other := f.start("desk", "south-1"), f.start("registry", "south-1")
+	f.configure(1, route("/x/", "safe", "desk", 0))
+	desk.await("ready", "/x/1", status(200))
+	other.await("ready", "/x/1", status(200))
+	desk.upstream.Handler = func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Server-Leaving", "1")
+		desk.upstream.WriteResponse(w, r)
+	}
+	is.Equal(other.call(http.MethodGet, "/x/1", "").status, 200)
+	runs := len(desk.upstream.Runs())
+	time.Sleep(3 * heartbeatInterval)
+	for _, i := range []*instance{desk, other} {
+		is.Equal(i.call(http.MethodGet, "/x/1", "").status, 503)
+	}
+	is.Equal(len(desk.upstream.Runs()), runs)
+}
--- a/node/presence/presence.go
+++ b/node/presence/presence.go
@@ -194,6 +194,19 @@
 	return nil
 }
 
+// MarkDraining records that an answer of an instance said that it is leaving.
+// Heartbeats that say otherwise are of before, unless the instance starts again.
+func (p *Presence) MarkDraining(now time.Time, instance string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.state.Instance != instance || p.state.Phase != PhaseReady {
+		return
+	}
+	p.recordDeparture(instance, departure{now, p.state.StartedAt, true})
+	p.state.Phase = PhaseDraining
+	p.notify()
+}
+
 // MarkMisdirected records that another upstream responded at the address of an
 // instance. The instance counts as absent until its next heartbeat.
 func (p *Presence) MarkMisdirected(instance string) {
--- a/node/presence/presence_test.go
+++ b/node/presence/presence_test.go
@@ -108,3 +108,20 @@
 	is.Equal(p.Current(now).Instance, "a")
 	is.NoErr(p.RecordHeartbeat(now.Add(lateHeartbeatTime), heartbeat("b", 9, 50, PhaseReady)))
 }
+
+// TestAnswerSaysThatTheUpstreamLeaves checks that later ready heartbeats of a leaving
+// upstream change nothing, and that its next start does.
+func TestAnswerSaysThatTheUpstreamLeaves(t *testing.T) {
+	is := is.New(t)
+	start := time.Unix(1000, 0)
+	p := New(interval)
+	is.NoErr(p.RecordHeartbeat(start, heartbeat("a", 1, 1, PhaseReady)))
+	p.MarkDraining(start, "b") // not the upstream
+	is.Equal(p.Current(start).Phase, PhaseReady)
+	p.MarkDraining(start, "a")
+	is.Equal(p.Current(start).Phase, PhaseDraining)
+	is.Equal(p.RecordHeartbeat(start, heartbeat("a", 1, 2, PhaseReady)), ErrStale)
+	is.Equal(p.Current(start).Phase, PhaseDraining)
+	is.NoErr(p.RecordHeartbeat(start, heartbeat("a", 2, 1, PhaseReady)))
+	is.Equal(p.Current(start).Phase, PhaseReady)
+}
--- a/node/upstream/dialect.go
+++ b/node/upstream/dialect.go
@@ -44,6 +44,8 @@
 	// takes from all callers together.
 	Limited   bool
 	RateLimit float64
+	// Leaving is set if the upstream is about to end and wants no new requests.
+	Leaving bool
 }
 
 // defaultDialect is the default Dialect: the context header of core/callctx, which the
@@ -119,4 +121,7 @@
 		return
 	}
 	u.gate.RecordRateLimit(now, s.RateLimit, s.Limited)
+	if s.Leaving {
+		u.presence.MarkDraining(now, instance)
+	}
 }
