--- a/lab/meshsim/store.go
+++ b/lab/meshsim/store.go
@@ -71,11 +71,16 @@
 
 // Configure writes the operator's configuration.
 func (s *Store) Configure(value []byte) error {
-	entry, err := s.data.Get(context.Background(), operatorKey)
+	return s.Put(operatorKey, value)
+}
+
+// Put writes an entry as another writer, whatever its revision.
+func (s *Store) Put(key string, value []byte) error {
+	entry, err := s.data.Get(context.Background(), key)
 	if err != nil && !errors.Is(err, kv.ErrNotFound) {
 		return err
 	}
-	_, err = s.data.Put(context.Background(), operatorKey, value, entry.Revision, "")
+	_, err = s.data.Put(context.Background(), key, value, entry.Revision, "")
 	return err
 }
 
--- a/node/membership/join.go
+++ b/node/membership/join.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net/netip"
 	"slices"
 	"strconv"
 	"time"
@@ -89,10 +90,13 @@
 	return joinInterval/2 + rand.N(joinInterval)
 }
 
+// addrsOf returns the addresses in the join entries, without those that can't be read.
 func addrsOf(entries []kv.Entry) []string {
-	addrs := make([]string, len(entries))
-	for i, e := range entries {
-		addrs[i] = string(e.Value)
+	var addrs []string
+	for _, e := range entries {
+		if addr, err := netip.ParseAddrPort(string(e.Value)); err == nil && addr.Port() != 0 {
+			addrs = append(addrs, addr.String())
+		}
 	}
 	return addrs
 }
