LIMIT: peers remember the limit for a daemon that starts

Change: the load that goes with each answer has the rate limit, callers remember it for 10 s by instance, beyond the end of its process, and send it with requests; a daemon that has had no answer yet keeps to it. The bound of four slots goes.

--- a/core/route/load.go
+++ b/core/route/load.go
@@ -1,6 +1,9 @@
 package route
 
-import "time"
+import (
+	"maps"
+	"time"
+)
 
 // Load is the load that a peer reports of its upstream.
 type Load struct {
@@ -10,6 +13,9 @@
 	Outstanding, Slots int
 	// ServiceTime is the mean time of a run.
 	ServiceTime time.Duration
+	// RateLimit is the number of requests per second that the upstream takes, 0 if it
+	// names no limit.
+	RateLimit float64
 }
 
 const (
@@ -86,3 +92,38 @@
 	}
 	return nearer
 }
+
+// rateLimitMemory is the time for which the rate limit of a peer's upstream is
+// remembered after the peer reported it. A daemon that restarts learns it in that time.
+const rateLimitMemory = 10 * time.Second
+
+// rateLimit is a rate limit that a peer reported.
+type rateLimit struct {
+	perSecond float64
+	at        time.Time
+}
+
+// recordRateLimit remembers the rate limit that a peer reports, also beyond the end of
+// its process.
+func (p *Picker) recordRateLimit(now time.Time, id string, l Load) {
+	switch {
+	case l.Slots == 0:
+	case l.RateLimit > 0:
+		p.rateLimits[id] = rateLimit{l.RateLimit, now}
+	default:
+		delete(p.rateLimits, id)
+	}
+}
+
+// knownRateLimit returns the rate limit of a peer's upstream, 0 if none is known.
+func (p *Picker) knownRateLimit(now time.Time, id string) float64 {
+	if r, known := p.rateLimits[id]; known && now.Sub(r.at) < rateLimitMemory {
+		return r.perSecond
+	}
+	return 0
+}
+
+// forgetRateLimits removes the rate limits that are no longer remembered.
+func (p *Picker) forgetRateLimits(now time.Time) {
+	maps.DeleteFunc(p.rateLimits, func(_ string, r rateLimit) bool { return now.Sub(r.at) >= rateLimitMemory })
+}
--- a/core/route/load_test.go
+++ b/core/route/load_test.go
@@ -70,3 +70,28 @@
 	choice, _ := p.Pick(start.Add(maxLoadAge), Query{Service: "s", CrossRegion: true}, newRandom())
 	is.New(t).Equal(choice.DataCentre, "south-1")
 }
+
+// TestRateLimitOutlivesTheProcessThatReportedIt checks that the rate limit of a peer's
+// upstream is remembered for the peer's next process, for a time.
+func TestRateLimitOutlivesTheProcessThatReportedIt(t *testing.T) {
+	is := is.New(t)
+	p := NewPicker(Locality{Instance: "a", Region: "south", DataCentre: "south-1"})
+	peer := Peer{ID: "b", Service: "desk", Region: "south", DataCentre: "south-1", Addr: "b:1", Started: 1}
+	query := Query{Service: "desk"}
+	pick := func(now time.Time) float64 {
+		choice, ok := p.Pick(now, query, newRandom())
+		is.True(ok)
+		return choice.RateLimit
+	}
+	p.Update(start, []Peer{peer})
+	is.Equal(pick(start), 0.0)
+	p.Done(start, "desk", "b", Result{Load: Load{Slots: 10, RateLimit: 16}})
+	is.Equal(pick(start), 16.0)
+	p.Update(start, nil)
+	peer.Started = 2
+	p.Update(start, []Peer{peer})
+	is.Equal(pick(start), 16.0)
+	is.Equal(pick(start.Add(rateLimitMemory)), 0.0)
+	p.Done(start, "desk", "b", Result{Load: Load{Slots: 10}}) // the limit has ended
+	is.Equal(pick(start), 0.0)
+}
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -35,11 +35,13 @@
 	services   map[string]*service
 	candidates []*peerState
 	inRegion   int
+	// rateLimits are the rate limits that peers reported, by instance id.
+	rateLimits map[string]rateLimit
 }
 
 // NewPicker returns a Picker without peers for a daemon at a locality.
 func NewPicker(locality Locality) *Picker {
-	return &Picker{locality: locality, services: map[string]*service{}}
+	return &Picker{locality: locality, services: map[string]*service{}, rateLimits: map[string]rateLimit{}}
 }
 
 // Update replaces the known peers. The observations of peers that stay are
@@ -47,6 +49,7 @@
 func (p *Picker) Update(now time.Time, peers []Peer) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.forgetRateLimits(now)
 	old := p.services
 	p.services = make(map[string]*service, len(old))
 	p.inRegion = 0
@@ -111,6 +114,8 @@
 	Peer
 	// CrossRegion is set for a peer of another region.
 	CrossRegion bool
+	// RateLimit is the rate limit that the peer reported last, 0 if none is known.
+	RateLimit float64
 }
 
 // Pick chooses a peer and counts the call as in flight there until Done. It
@@ -127,7 +132,7 @@
 		return Choice{}, false
 	}
 	p.begin(s, peer)
-	return Choice{peer.Peer, peer.tier == tierCrossRegion}, true
+	return Choice{peer.Peer, peer.tier == tierCrossRegion, p.knownRateLimit(now, peer.ID)}, true
 }
 
 // choose returns the peer for a call, or nil. It takes the cheaper of two
@@ -229,6 +234,7 @@
 	peer.inFlight = max(peer.inFlight-1, 0)
 	peer.record(now, r)
 	peer.recordLoad(now, r.Load)
+	p.recordRateLimit(now, id, r.Load)
 	if r.Failed {
 		s.ejectIfOutlier(now, peer)
 	}
--- a/node/call/call.go
+++ b/node/call/call.go
@@ -114,6 +114,10 @@
 	// Repeat is set if the request was sent to an upstream before, or if the run that
 	// makes the call was itself such a repeat.
 	Repeat bool
+	// RateLimit is the rate limit that the peer that gets the request reported last for
+	// its upstream, in requests per second; 0 if none is known. A daemon that has just
+	// started learns it from there.
+	RateLimit float64
 	// Timestamp is when the root request entered the fleet, in the clock of the daemon
 	// that handles the request.
 	Timestamp time.Time
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -136,6 +136,7 @@
 	if !ok {
 		return g.refuseNoPeer(r), ""
 	}
+	r.RateLimit = peer.RateLimit
 	answer, _ := g.sendTo(ctx, r, peer.Peer, values, budget)
 	return answer, peer.ID
 }
--- a/node/link/client.go
+++ b/node/link/client.go
@@ -233,7 +233,7 @@
 		Host: r.Host, Label: r.CallerRequestID, Age: age,
 		ID: r.ID, Run: r.Run, Service: r.Service, Method: r.Method, Target: r.RequestURI, Path: r.Path,
 		Header: r.Header, Caller: r.Caller, Rank: r.Rank, Timeout: r.Deadline.Sub(now).Microseconds(),
-		Retries: r.RetryBudget, Idempotent: r.Idempotent, Key: r.Key, Nested: r.Nested, Repeat: r.Repeat,
+		Retries: r.RetryBudget, Idempotent: r.Idempotent, Key: r.Key, Nested: r.Nested, Repeat: r.Repeat, RateLimit: r.RateLimit,
 	}
 }
 
@@ -286,6 +286,6 @@
 		Status: a.Status, Header: header, Length: a.Length, Body: b,
 		Outcome: decodeOutcome(a.Outcome), Refusal: call.Refusal(a.Refusal), Detail: a.Detail,
 		RetryAfter: time.Duration(a.RetryAfter) * time.Millisecond, UnusedRetries: a.UnusedRetries, Level: a.Level,
-		Load: route.Load{Outstanding: a.Outstanding, Slots: a.Slots, ServiceTime: time.Duration(a.ServiceTime) * time.Microsecond},
+		Load: route.Load{Outstanding: a.Outstanding, Slots: a.Slots, ServiceTime: time.Duration(a.ServiceTime) * time.Microsecond, RateLimit: a.RateLimit},
 	}
 }
--- a/node/link/server.go
+++ b/node/link/server.go
@@ -144,7 +144,7 @@
 		ID: w.ID, Run: w.Run, Service: w.Service, Method: w.Method, RequestURI: w.Target, Path: w.Path,
 		Header: header, Caller: w.Caller, Rank: w.Rank, RetryBudget: w.Retries,
 		Deadline:   now.Add(time.Duration(w.Timeout) * time.Microsecond),
-		Idempotent: w.Idempotent, Key: w.Key, Nested: w.Nested, Repeat: w.Repeat,
+		Idempotent: w.Idempotent, Key: w.Key, Nested: w.Nested, Repeat: w.Repeat, RateLimit: w.RateLimit,
 	}
 }
 
@@ -300,6 +300,6 @@
 		Status: a.Status, Header: a.Header, Length: a.Length, Outcome: string(a.Outcome),
 		Refusal: string(a.Refusal), Detail: a.Detail, RetryAfter: a.RetryAfter.Milliseconds(),
 		UnusedRetries: a.UnusedRetries, Level: a.Level,
-		Outstanding: a.Load.Outstanding, Slots: a.Load.Slots, ServiceTime: a.Load.ServiceTime.Microseconds(),
+		Outstanding: a.Load.Outstanding, Slots: a.Load.Slots, ServiceTime: a.Load.ServiceTime.Microseconds(), RateLimit: a.Load.RateLimit,
 	}
 }
--- a/node/upstream/gate.go
+++ b/node/upstream/gate.go
@@ -31,14 +31,6 @@
 // upstream may slow down when all its slots are taken.
 const usableFraction = 0.95
 
-const (
-	// unheardSlots bounds the slots of an upstream that announces them until its first
-	// answer, which may name a rate limit that an earlier daemon knew.
-	unheardSlots = 4
-	// firstAnswerTimeout bounds the time for which unheardSlots applies.
-	firstAnswerTimeout = 500 * time.Millisecond
-)
-
 // Gate wraps the admission controller of the upstream: requests block in Acquire
 // until they get a slot or are refused. It is safe for concurrent use.
 type Gate struct {
@@ -52,9 +44,7 @@
 	announcedSlots int // 0 if the upstream announces none
 	configuredAt   time.Time
 	limitNamed     time.Time // when the upstream last named a rate limit
-	// firstOffer is when the first request came. heard is set once the upstream has
-	// answered, or firstAnswerTimeout after firstOffer.
-	firstOffer      time.Time
+	// heard is set once the upstream has answered.
 	heard           bool
 	waiting         map[admission.Ticket]chan admission.Reason
 	loggedFractions []float64 // admitted fraction by rank, as last logged
@@ -112,9 +102,6 @@
 	now := time.Now()
 	rank := g.settings.Current().Document.RankIndex(r.Rank)
 	g.mu.Lock()
-	if g.firstOffer.IsZero() {
-		g.firstOffer = now
-	}
 	g.reconfigure(now)
 	d := g.controller.Offer(now, admission.Request{
 		ID: r.ID, Rank: rank, Caller: r.Caller, Deadline: r.Deadline, Timestamp: r.Timestamp, Nested: r.Nested,
@@ -222,6 +209,7 @@
 func (g *Gate) RecordRateLimit(now time.Time, perSecond float64, named bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.heard = true
 	switch {
 	case named:
 		g.limitNamed = now
@@ -229,17 +217,19 @@
 	case now.Sub(g.limitNamed) >= rateLimitRetention:
 		g.setRateLimit(now, 0)
 	}
-	g.setHeard(now) // after the limit, which the queued requests must meet
 }
 
-// setHeard ends the bound of the slots before the first answer. The caller holds the
-// lock.
-func (g *Gate) setHeard(now time.Time) {
-	if g.heard {
+// SuggestRateLimit sets the rate limit that a peer remembers of the upstream, 0 if it
+// knows none, until the first answer of the upstream.
+func (g *Gate) SuggestRateLimit(now time.Time, perSecond float64) {
+	if !(perSecond > 0) || math.IsInf(perSecond, 0) {
 		return
 	}
-	g.heard = true
-	g.deliverGrants(g.controller.Configure(now, g.config(now)))
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.heard {
+		g.setRateLimit(now, perSecond)
+	}
 }
 
 // ForgetRateLimit ends the rate limit, because another upstream has taken the place of
@@ -321,9 +311,6 @@
 func (g *Gate) update(now time.Time) time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if !g.firstOffer.IsZero() && now.Sub(g.firstOffer) > firstAnswerTimeout {
-		g.setHeard(now)
-	}
 	g.reconfigure(now)
 	g.deliverGrants(g.controller.Expire(now))
 	g.logLevels(now)
@@ -369,7 +356,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	c := g.controller
-	return route.Load{Outstanding: c.InFlight() + c.Queued(), Slots: c.Capacity(time.Now()), ServiceTime: c.MeanRunTime()}
+	return route.Load{Outstanding: c.InFlight() + c.Queued(), Slots: c.Capacity(time.Now()), ServiceTime: c.MeanRunTime(), RateLimit: c.RateLimit()}
 }
 
 // Limit returns the number of requests that may run concurrently.
@@ -420,9 +407,6 @@
 	shares := document.SharesAt(g.service, now)
 	if g.announcedSlots > 0 {
 		v.Slots = max(1, int(usableFraction*float64(g.announcedSlots)))
-		if !g.heard {
-			v.Slots = min(v.Slots, unheardSlots)
-		}
 	}
 	config := admission.Config{Announced: g.announcedSlots > 0, Slots: v.Slots, Connections: v.Connections, QueueTimeout: v.QueueTimeout, SlowStart: v.SlowStart}
 	for i, rank := range document.Ranks() {
--- a/node/upstream/upstream.go
+++ b/node/upstream/upstream.go
@@ -84,6 +84,7 @@
 	if refusal := u.refuseClosed(r); refusal != nil {
 		return refusal
 	}
+	u.gate.SuggestRateLimit(time.Now(), r.RateLimit)
 	slot, refusal := u.gate.Acquire(ctx, r)
 	if refusal != nil {
 		return u.withUnusedRetries(r, refusal)
--- a/node/wire/wire.go
+++ b/node/wire/wire.go
@@ -143,7 +143,8 @@
 	Age    int64 `cbor:"18,keyasint,omitempty"`
 	Repeat bool  `cbor:"19,keyasint,omitempty"`
 	// BodyLength is the size of the body in bytes if it takes more than one frame.
-	BodyLength int `cbor:"20,keyasint,omitempty"`
+	BodyLength int     `cbor:"20,keyasint,omitempty"`
+	RateLimit  float64 `cbor:"21,keyasint,omitempty"`
 }
 
 // Answer is the head of an answer: everything except its body. Fields without a
@@ -165,6 +166,9 @@
 	Outstanding int   `cbor:"10,keyasint,omitempty"`
 	Slots       int   `cbor:"11,keyasint,omitempty"`
 	ServiceTime int64 `cbor:"12,keyasint,omitempty"`
+	// RateLimit is the number of requests per second that the upstream takes, 0 if it
+	// names no limit.
+	RateLimit float64 `cbor:"13,keyasint,omitempty"`
 }
 
 var (
