LIMIT: requests that a limited upstream can't serve in time go to another

Change: if a rate limit holds them up, the refusal is one of overload, which one other upstream may take without a retry being spent.

--- a/core/admission/aged.go
+++ b/core/admission/aged.go
@@ -32,6 +32,10 @@
 	}
 	wait := c.estimateWait(now, r)
 	if now.Add(wait + c.ranks[r.Rank].runTime.estimate(now)).After(r.Deadline) {
+		if c.rate.Limited() {
+			// Other upstreams of the service may have time for it.
+			return Decision{Verdict: Refused, Reason: ReasonQueueTimeout}
+		}
 		return Decision{Verdict: Refused, Reason: ReasonDeadline}
 	}
 	if !r.Nested && wait > c.config.QueueTimeout {
--- a/core/admission/ratelimit_test.go
+++ b/core/admission/ratelimit_test.go
@@ -72,3 +72,17 @@
 	is.Equal(c.Capacity(start), 1) // a run of 10 ms at 20 a second
 	is.Equal(len(c.SetRateLimit(start.Add(length), 0)) > 0 || c.Queued() == 0, true)
 }
+
+// TestRequestThatARateLimitHoldsUpMayGoElsewhere guards against refusals for the deadline
+// of requests that another upstream of the service has time for.
+func TestRequestThatARateLimitHoldsUpMayGoElsewhere(t *testing.T) {
+	is := is.New(t)
+	start := time.Unix(1_000_000, 0)
+	c := New(start, Config{Announced: true, Slots: 50, QueueTimeout: 400 * time.Millisecond, Ranks: []Rank{{Share: 0.04}}})
+	c.SetRateLimit(start, 1) // the first token comes after a second
+	for _, nested := range []bool{false, true} {
+		d := c.Offer(start, Request{ID: "a", Deadline: start.Add(500 * time.Millisecond), Timestamp: start, Nested: nested})
+		is.Equal(d.Verdict, Refused)
+		is.Equal(d.Reason, ReasonQueueTimeout)
+	}
+}
