REFUSED: an earlier refusal on a kept connection is no answer

A report of other operators: a faulty server wrote an earlier refusal once more on a kept connection. What callers would see: "not run" for a request that an upstream was running, which might then run at a second one. Two ways led there. A request that an upstream had refused came again on the connection of the refusal, with the same id; and a refusal without an id was believed on any connection.

A refusal with another id was unknown before.

--- a/node/upstream/conns.go
+++ b/node/upstream/conns.go
@@ -114,12 +114,34 @@
 	return n, err
 }
 
-// take returns an idle connection, or a new one if there is none. With single set,
-// for requests that must not run twice, it reuses only connections idle for less
-// than singleIdleTimeout.
-func (p *connPool) take(ctx context.Context, single bool) (*conn, error) {
+// reuse says which idle connections a request may use.
+type reuse int
+
+const (
+	reuseAny reuse = iota
+	// reuseRecent is for requests that must not run twice: connections idle for less
+	// than singleIdleTimeout.
+	reuseRecent
+	// reuseNone is for requests that an upstream may have refused before. A faulty
+	// upstream may write that refusal once more, on the connection of the first one.
+	reuseNone
+)
+
+// reuseOf returns which idle connections a request may use.
+func reuseOf(r *call.Request) reuse {
+	switch {
+	case r.Repeat:
+		return reuseNone
+	case !r.Idempotent:
+		return reuseRecent
+	}
+	return reuseAny
+}
+
+// take returns an idle connection that may be used, or a new one if there is none.
+func (p *connPool) take(ctx context.Context, allowed reuse) (*conn, error) {
 	for {
-		c := p.pop(time.Now(), single)
+		c := p.pop(time.Now(), allowed)
 		if c == nil {
 			return p.dial(ctx)
 		}
@@ -133,16 +155,16 @@
 
 // pop removes and returns the most recently used connection, or returns nil if
 // there is none or it was idle for too long.
-func (p *connPool) pop(now time.Time, single bool) *conn {
+func (p *connPool) pop(now time.Time, allowed reuse) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	last := len(p.idle) - 1
-	if last < 0 {
+	if last < 0 || allowed == reuseNone {
 		return nil
 	}
 	c := p.idle[last]
 	idle := now.Sub(c.idleSince)
-	if idle >= p.maxIdleTime(now, c) || single && idle >= singleIdleTimeout {
+	if idle >= p.maxIdleTime(now, c) || allowed == reuseRecent && idle >= singleIdleTimeout {
 		return nil
 	}
 	p.idle = p.idle[:last]
--- a/node/upstream/dialect.go
+++ b/node/upstream/dialect.go
@@ -32,8 +32,9 @@
 	// SetHeaders sets the headers of a request that is sent to an instance at the
 	// time now.
 	SetHeaders(httpRequest *http.Request, r *call.Request, instance string, now time.Time)
-	// Classify returns the verdict on a response to the request.
-	Classify(r *call.Request, response *http.Response) Verdict
+	// Classify returns the verdict on a response to the request. first says that the
+	// connection has carried no other request, so that the response belongs to this one.
+	Classify(r *call.Request, response *http.Response, first bool) Verdict
 	// Signals returns what a response says of the upstream itself.
 	Signals(response *http.Response) Signals
 }
@@ -65,7 +66,7 @@
 }
 
 // Classify implements Dialect.
-func (defaultDialect) Classify(*call.Request, *http.Response) Verdict { return VerdictRan }
+func (defaultDialect) Classify(*call.Request, *http.Response, bool) Verdict { return VerdictRan }
 
 // Signals implements Dialect. Upstreams with the default convention say nothing of
 // themselves.
@@ -92,7 +93,7 @@
 // request. Otherwise it closes the response body, and the connection too if the
 // response belongs to another request.
 func (u *Runner) checkResponse(r *call.Request, e *exchange, instance string) error {
-	verdict := u.dialect.Classify(r, e.response)
+	verdict := u.dialect.Classify(r, e.response, !e.conn.reused)
 	if verdict == VerdictRan || verdict == VerdictShed {
 		u.recordSignals(instance, u.dialect.Signals(e.response))
 	}
--- a/node/upstream/exchange.go
+++ b/node/upstream/exchange.go
@@ -36,13 +36,12 @@
 // past is a deadline that makes reads and writes fail immediately.
 var past = time.Unix(1, 0)
 
-// exchange sends a request with a body and reads the head of its response. single
-// marks a request that must not run twice. sent reports whether the upstream may
+// exchange sends a request with a body and reads the head of its response. sent reports whether the upstream may
 // have received some of the request.
-func (p *connPool) exchange(ctx context.Context, request *http.Request, body []byte, single bool) (e *exchange, sent bool, err error) {
+func (p *connPool) exchange(ctx context.Context, request *http.Request, body []byte, allowed reuse) (e *exchange, sent bool, err error) {
 	for {
 		request.Body = io.NopCloser(bytes.NewReader(body))
-		c, err := p.take(ctx, single)
+		c, err := p.take(ctx, allowed)
 		if err != nil {
 			return nil, false, contextError(ctx, err)
 		}
--- a/node/upstream/exchange_test.go
+++ b/node/upstream/exchange_test.go
@@ -251,10 +251,10 @@
 	now := time.Now()
 	p := newConnPool("")
 	p.idle = []*conn{{idleSince: now.Add(-time.Second), idleLimit: time.Second}}
-	is.True(p.pop(now, false) == nil)
+	is.True(p.pop(now, reuseAny) == nil)
 	p.idle[0].idleLimit = 2 * time.Second
-	is.True(p.pop(now, true) == nil) // idle for too long for a request that must not run twice
-	is.True(p.pop(now, false) != nil)
+	is.True(p.pop(now, reuseRecent) == nil) // idle for too long for a request that must not run twice
+	is.True(p.pop(now, reuseAny) != nil)
 }
 
 // TestForgottenIdleConnectionsAreLearnt checks that after the reset of a connection
@@ -266,11 +266,11 @@
 	p := newConnPool("")
 	p.recordReset(now, 320*time.Millisecond)
 	p.idle = []*conn{{idleSince: now.Add(-200 * time.Millisecond)}}
-	is.True(p.pop(now, false) == nil)
+	is.True(p.pop(now, reuseAny) == nil)
 	p.idle[0].idleSince = now.Add(-100 * time.Millisecond)
-	is.True(p.pop(now, false) != nil)
+	is.True(p.pop(now, reuseAny) != nil)
 	p.idle = []*conn{{idleSince: now.Add(distrustDuration - time.Second)}}
-	is.True(p.pop(now.Add(distrustDuration), false) != nil) // the distrust has ended
+	is.True(p.pop(now.Add(distrustDuration), reuseAny) != nil) // the distrust has ended
 }
 
 // TestLostResponseIsNoReasonForDistrust has an upstream that closes the connection
@@ -359,3 +359,47 @@
 	is.Equal(a.Refusal, call.RefusedUnreachable)
 	is.Equal(a.Outcome, call.Unknown)
 }
+
+// idDialect is a Dialect whose upstream echoes the id of the request.
+type idDialect struct{ defaultDialect }
+
+func (idDialect) SetHeaders(out *http.Request, r *call.Request, _ string, _ time.Time) {
+	out.Header.Set("X-Request-Id", r.CallerRequestID)
+}
+
+func (idDialect) Classify(r *call.Request, response *http.Response, _ bool) Verdict {
+	switch {
+	case response.Header.Get("X-Request-Id") != r.CallerRequestID:
+		return VerdictMismatched
+	case response.Header.Get("X-Not-Executed") != "":
+		return VerdictShed
+	}
+	return VerdictRan
+}
+
+// TestRefusalWrittenTwiceIsBelievedOnce guards against a refusal that the upstream writes
+// once more on a kept connection, while it runs the same request, which came again.
+func TestRefusalWrittenTwiceIsBelievedOnce(t *testing.T) {
+	is := is.New(t)
+	ran := make(chan struct{}, 2)
+	up := newScripted(t, func(_ int64, conn net.Conn, from *bufio.Reader) {
+		const refusal = "HTTP/1.1 503 Service Unavailable\r\nX-Request-Id: a\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+		for n := 1; readRequest(from); n++ {
+			if n > 1 {
+				ran <- struct{}{}
+			}
+			_, _ = io.WriteString(conn, refusal)
+		}
+	})
+	u := up.runner()
+	u.dialect = idDialect{}
+	first := get(testTimeout)
+	first.CallerRequestID = "a"
+	a := u.Serve(context.Background(), first)
+	is.Equal(a.Outcome, call.NotRun)
+	again := get(testTimeout)
+	again.CallerRequestID, again.Repeat = "a", true
+	a = u.Serve(context.Background(), again)
+	is.Equal(a.Outcome, call.NotRun)
+	is.Equal(len(ran), 0) // it was refused anew, on a connection of its own
+}
--- a/node/upstream/upstream.go
+++ b/node/upstream/upstream.go
@@ -178,7 +178,7 @@
 	}
 	request := newRequest(r, target)
 	u.dialect.SetHeaders(request, r, instance, time.Now())
-	return u.conns.exchange(ctx, request, r.Body, !r.Idempotent)
+	return u.conns.exchange(ctx, request, r.Body, reuseOf(r))
 }
 
 // target returns the URL of a request. If the request has a host, a target that
