Refused requests that come again keep off the connection of their refusal alone

Change: a connection remembers the ids that were refused on it, and only these requests avoid it; after 32 refusals it is closed. Same tests as before.

--- a/node/upstream/conns.go
+++ b/node/upstream/conns.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -40,6 +41,8 @@
 	sweepInterval = time.Second
 	// maxIdle bounds the number of idle connections.
 	maxIdle = 256
+	// maxRefused is the number of refusals after which a connection is not kept.
+	maxRefused = 32
 	// bufferSize is the size of a connection's read and write buffers in bytes. The
 	// head of a common request or response fits in.
 	bufferSize = 4 << 10
@@ -81,6 +84,9 @@
 	// idle time by the upstream's Keep-Alive header, 0 if there is none.
 	idleSince time.Time
 	idleLimit time.Duration
+	// refused lists the ids of the requests that the upstream refused on this
+	// connection.
+	refused []string
 	// written is the number of bytes of the current request that the kernel
 	// accepted.
 	written int
@@ -115,27 +121,23 @@
 }
 
 // reuse says which idle connections a request may use.
-type reuse int
-
-const (
-	reuseAny reuse = iota
-	// reuseRecent is for requests that must not run twice: connections idle for less
-	// than singleIdleTimeout.
-	reuseRecent
-	// reuseNone is for requests that an upstream may have refused before. A faulty
-	// upstream may write that refusal once more, on the connection of the first one.
-	reuseNone
-)
+type reuse struct {
+	// recent allows only connections idle for less than singleIdleTimeout, for requests
+	// that must not run twice.
+	recent bool
+	// id is the id of a request that an upstream may have refused before, else empty.
+	// The connection of that refusal is not used: a faulty upstream may write it there
+	// once more.
+	id string
+}
 
 // reuseOf returns which idle connections a request may use.
 func reuseOf(r *call.Request) reuse {
-	switch {
-	case r.Repeat:
-		return reuseNone
-	case !r.Idempotent:
-		return reuseRecent
+	allowed := reuse{recent: !r.Idempotent}
+	if r.Repeat {
+		allowed.id = r.CallerRequestID
 	}
-	return reuseAny
+	return allowed
 }
 
 // take returns an idle connection that may be used, or a new one if there is none.
@@ -153,21 +155,24 @@
 	}
 }
 
-// pop removes and returns the most recently used connection, or returns nil if
-// there is none or it was idle for too long.
+// pop removes and returns the most recently used connection that may be used, or returns
+// nil if there is none or it was idle for too long.
 func (p *connPool) pop(now time.Time, allowed reuse) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	last := len(p.idle) - 1
-	if last < 0 || allowed == reuseNone {
+	for last >= 0 && allowed.id != "" && slices.Contains(p.idle[last].refused, allowed.id) {
+		last--
+	}
+	if last < 0 {
 		return nil
 	}
 	c := p.idle[last]
 	idle := now.Sub(c.idleSince)
-	if idle >= p.maxIdleTime(now, c) || allowed == reuseRecent && idle >= singleIdleTimeout {
+	if idle >= p.maxIdleTime(now, c) || allowed.recent && idle >= singleIdleTimeout {
 		return nil
 	}
-	p.idle = p.idle[:last]
+	p.idle = slices.Delete(p.idle, last, last+1)
 	return c
 }
 
--- a/node/upstream/dialect.go
+++ b/node/upstream/dialect.go
@@ -104,6 +104,7 @@
 		e.abandon()
 		return errMismatched
 	}
+	e.conn.refused = append(e.conn.refused, r.CallerRequestID)
 	_ = e.response.Body.Close()
 	switch verdict {
 	case VerdictMisdirected:
--- a/node/upstream/exchange.go
+++ b/node/upstream/exchange.go
@@ -156,7 +156,7 @@
 		return
 	}
 	e.over = true
-	usable := e.stop() && !e.response.Close && e.conn.reader.Buffered() == 0 && e.isWritten()
+	usable := e.stop() && !e.response.Close && len(e.conn.refused) < maxRefused && e.conn.reader.Buffered() == 0 && e.isWritten()
 	if !usable {
 		_ = e.conn.Close()
 		return
--- a/node/upstream/exchange_test.go
+++ b/node/upstream/exchange_test.go
@@ -251,10 +251,10 @@
 	now := time.Now()
 	p := newConnPool("")
 	p.idle = []*conn{{idleSince: now.Add(-time.Second), idleLimit: time.Second}}
-	is.True(p.pop(now, reuseAny) == nil)
+	is.True(p.pop(now, reuse{}) == nil)
 	p.idle[0].idleLimit = 2 * time.Second
-	is.True(p.pop(now, reuseRecent) == nil) // idle for too long for a request that must not run twice
-	is.True(p.pop(now, reuseAny) != nil)
+	is.True(p.pop(now, reuse{recent: true}) == nil) // idle for too long for a request that must not run twice
+	is.True(p.pop(now, reuse{}) != nil)
 }
 
 // TestForgottenIdleConnectionsAreLearnt checks that after the reset of a connection
@@ -266,11 +266,11 @@
 	p := newConnPool("")
 	p.recordReset(now, 320*time.Millisecond)
 	p.idle = []*conn{{idleSince: now.Add(-200 * time.Millisecond)}}
-	is.True(p.pop(now, reuseAny) == nil)
+	is.True(p.pop(now, reuse{}) == nil)
 	p.idle[0].idleSince = now.Add(-100 * time.Millisecond)
-	is.True(p.pop(now, reuseAny) != nil)
+	is.True(p.pop(now, reuse{}) != nil)
 	p.idle = []*conn{{idleSince: now.Add(distrustDuration - time.Second)}}
-	is.True(p.pop(now.Add(distrustDuration), reuseAny) != nil) // the distrust has ended
+	is.True(p.pop(now.Add(distrustDuration), reuse{}) != nil) // the distrust has ended
 }
 
 // TestLostResponseIsNoReasonForDistrust has an upstream that closes the connection
