Tests: a fourth upload is sent once three are held

The test now waits until the metric of the bodies shows three before it sends the fourth, whose refusal must come at the first try; before, it tried until it was refused.

--- a/lab/mesh/upload_test.go
+++ b/lab/mesh/upload_test.go
@@ -68,22 +68,14 @@
 	for n := range 3 {
 		held = append(held, openUpload(t, entry, fmt.Sprintf("%016x", 0xa0+n), size, 1000))
 	}
-	refused := func() bool {
-		conn := openUpload(t, entry, "00000000000000af", size, 0)
-		defer conn.Close()
-		_ = conn.SetReadDeadline(time.Now().Add(time.Second))
-		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
-		if err != nil {
-			return false // the head of one of the three has not been read yet
-		}
-		is.True(response.Header.Get("Retry-After") != "")
-		return response.StatusCode == http.StatusServiceUnavailable
-	}
-	for end := time.Now().Add(waitTimeout); !refused(); {
-		if time.Now().After(end) {
-			t.Fatal("a fourth upload was not refused")
-		}
-	}
+	entry.awaitBodyBytes(3 * size)
+	fourth := openUpload(t, entry, "00000000000000af", size, 0)
+	defer fourth.Close()
+	_ = fourth.SetReadDeadline(time.Now().Add(waitTimeout))
+	response, err := http.ReadResponse(bufio.NewReader(fourth), nil)
+	is.NoErr(err)
+	is.Equal(response.StatusCode, http.StatusServiceUnavailable)
+	is.True(response.Header.Get("Retry-After") != "")
 	is.Equal(entry.call(http.MethodPost, "/x/1", strings.Repeat("x", 300)).status, http.StatusOK)
 	for _, conn := range held {
 		_, err := io.WriteString(conn, strings.Repeat("x", size-1000))
@@ -103,6 +95,24 @@
 	}
 }
 
+// awaitBodyBytes waits until request bodies take a number of bytes of the memory.
+func (i *instance) awaitBodyBytes(bytes int) {
+	i.t.Helper()
+	want := fmt.Sprintf("fuchsiavane_request_body_bytes %d\n", bytes)
+	for end := time.Now().Add(waitTimeout); time.Now().Before(end); time.Sleep(pollInterval) {
+		r, err := http.Get("http://" + i.settings.AdminListen.String() + "/metrics")
+		if err != nil {
+			continue
+		}
+		text, err := io.ReadAll(r.Body)
+		_ = r.Body.Close()
+		if err == nil && strings.Contains(string(text), want) {
+			return
+		}
+	}
+	i.t.Fatalf("request bodies do not take %d bytes", bytes)
+}
+
 // callInChunks posts a body of unknown length and returns the status.
 func (i *instance) callInChunks(path, body string) int {
 	i.t.Helper()
