--- a/core/member/membertest/network.go
+++ b/core/member/membertest/network.go
@@ -56,6 +56,8 @@
 	Cut func(a, b *Node) bool
 	// Size returns the encoded size of a message in bytes; nil counts no bytes.
 	Size func(*member.Message) int
+	// OnTick is called for each node before its tick, unless nil.
+	OnTick func(*Node)
 	// OnSend is called for each message sent, unless nil.
 	OnSend func(from *Node, out *member.Outgoing)
 
@@ -184,6 +186,9 @@
 	}
 	if d.message == nil {
 		n.push(delivery{at: n.Now + tick, node: node})
+		if n.OnTick != nil {
+			n.OnTick(node)
+		}
 		n.Send(node, n.timed(node, func() []member.Outgoing { return node.Member.Tick(n.Now + node.Skew) }))
 		return
 	}
--- a/lab/control/virtual.go
+++ b/lab/control/virtual.go
@@ -11,6 +11,7 @@
 	"fuchsiavane.org/core/member/membertest"
 	"fuchsiavane.org/node/membership"
 	"fuchsiavane.org/node/seal"
+	"fuchsiavane.org/node/settingsync"
 )
 
 const (
@@ -27,6 +28,8 @@
 	// convergenceLimit is the stated limit for views to converge after a partition.
 	// After a crash or a partition the measurement waits up to twice as long.
 	convergenceLimit = 10 * time.Second
+	// readerPurpose is the purpose for which members of a data centre read the store.
+	readerPurpose = "settings watch"
 	// pollInterval is the virtual time between checks of a condition.
 	pollInterval = 100 * time.Millisecond
 )
@@ -71,6 +74,7 @@
 func newFleet(seed uint64, centres, perCentre int) *membertest.Network {
 	network := membertest.New(seed)
 	network.Size = wireSize
+	network.OnTick = func(node *membertest.Node) { node.Member.IsReader(readerPurpose, settingsync.WatchersPerDataCentre) }
 	names := centreNames(centres)
 	var join []string
 	for _, name := range names {
