--- a/review/tools/world/main.go
+++ b/review/tools/world/main.go
@@ -59,6 +59,7 @@
 // arrival is a request that has reached a server.
 type arrival struct {
 	id, path, caller, server string
+	method                   string
 	at                       time.Time
 	// ran is set if the server began to work on it; ended is when its work ended.
 	ran   bool
@@ -474,7 +475,7 @@
 	request := r.Header.Get("X-Request-Id")
 	w.Header().Set("X-Request-Id", request)
 	w.Header().Set("X-Instance-Id", id)
-	a := &arrival{id: request, path: r.RequestURI, caller: r.Header.Get("X-Caller-Service"), server: id, at: time.Now()}
+	a := &arrival{id: request, path: r.RequestURI, method: r.Method, caller: r.Header.Get("X-Caller-Service"), server: id, at: time.Now()}
 	s.m.w.mu.Lock()
 	s.m.w.arrivals = append(s.m.w.arrivals, a)
 	s.m.w.mu.Unlock()
@@ -860,6 +861,7 @@
 	"stop-last-of-zone":     stopLastOfZone,
 	"poison-after-restart":  poisonAfterRestart,
 	"leave-then-restart":    leaveThenRestart,
+	"empty-first-segment":   emptyFirstSegment,
 }
 
 func main() { os.Exit(play()) }
@@ -1137,3 +1139,54 @@
 	}
 	return w.verdict(late > 0, "%d requests reached a server later than %s after its leave was acknowledged; %d of them were cut by its exit", late, drainBound, cut)
 }
+
+// emptyFirstSegment sends requests whose path begins with an empty segment, on a route for
+// all paths of a host.
+func emptyFirstSegment(w *world) int {
+	for _, zone := range []string{"north", "south"} {
+		if err := w.add(zone, "desk", 54, constant(290*time.Millisecond)); err != nil {
+			return w.fail(err)
+		}
+	}
+	err := w.configure(7, route{Name: "r-desk", Host: "desk.example", Prefix: "/", Kind: "unsafe", Timeout: "1500ms", Target: "1500ms", Priority: 1, Service: "desk", Attempts: 2})
+	if err != nil {
+		return w.fail(err)
+	}
+	if err := w.run(w.serves("POST", "desk.example", "/rulings/0")); err != nil {
+		return w.fail(err)
+	}
+	path := "/rulings/"
+	if w.trouble {
+		path = "//rulings/"
+	}
+	ctx, stop := context.WithCancel(w.ctx)
+	defer stop()
+	for _, m := range w.machines {
+		w.load(ctx, m, 10, "POST", "desk.example", path, 4000, 5*time.Second)
+	}
+	sleep(ctx, 5*time.Second)
+	stop()
+	w.clients.Wait()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	sent := map[string]*result{}
+	for _, r := range w.results {
+		sent[r.id] = r
+	}
+	changed, ran := 0, 0
+	for _, a := range w.arrivals {
+		if !a.ran {
+			continue
+		}
+		ran++
+		r := sent[a.id]
+		if r == nil {
+			changed++
+			w.rec.log("UNASKED: server %s ran %s %s, and no client sent %s", a.server, a.method, a.path, a.id)
+		} else if r.path != a.path || r.method != a.method {
+			changed++
+			w.rec.log("UNASKED: server %s ran %s %s, and %s was sent as %s %s", a.server, a.method, a.path, a.id, r.method, r.path)
+		}
+	}
+	return w.verdict(changed > 0, "%d of %d runs had another method or path than the request that was sent", changed, ran)
+}
