--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -2,4 +2,4 @@
 # Plays the case; TROUBLE=0 plays it without the disruption. Needs target/ of the deploy
 # file's build and of review/build.sh.
 cd "$(dirname "$0")/../.." || exit 2
-exec target/world -case poison-after-restart -record review/3/record.txt
+exec target/world -case stop-last-of-zone -record review/3/record.txt
--- a/review/tools/world/main.go
+++ b/review/tools/world/main.go
@@ -59,6 +59,7 @@
 // arrival is a request that has reached a server.
 type arrival struct {
 	id, path, caller, server string
+	service                  string
 	method                   string
 	at                       time.Time
 	// ran is set if the server began to work on it; ended is when its work ended.
@@ -475,7 +476,7 @@
 	request := r.Header.Get("X-Request-Id")
 	w.Header().Set("X-Request-Id", request)
 	w.Header().Set("X-Instance-Id", id)
-	a := &arrival{id: request, path: r.RequestURI, method: r.Method, caller: r.Header.Get("X-Caller-Service"), server: id, at: time.Now()}
+	a := &arrival{id: request, path: r.RequestURI, method: r.Method, service: s.m.service, caller: r.Header.Get("X-Caller-Service"), server: id, at: time.Now()}
 	s.m.w.mu.Lock()
 	s.m.w.arrivals = append(s.m.w.arrivals, a)
 	s.m.w.mu.Unlock()
@@ -710,6 +711,31 @@
 	return nil
 }
 
+// remove ends a machine for good, with its daemon and its server.
+func (m *machine) remove() {
+	m.mu.Lock()
+	m.stopping = true
+	exited := m.exited
+	m.mu.Unlock()
+	m.signal(syscall.SIGKILL)
+	m.server.exit()
+	<-exited
+}
+
+// addAt adds a machine of another service at the address of one that is gone, and starts
+// it.
+func (w *world) addAt(old *machine, service string, slots int, work func(path string) time.Duration) (*machine, error) {
+	m := &machine{w: w, name: fmt.Sprintf("sidecar-%s-%d", old.zone, len(w.machines)+1), zone: old.zone, service: service, ip: old.ip, ports: old.ports}
+	m.config = filepath.Join(w.dir, m.name+".conf")
+	m.server = &server{m: m, slots: slots, work: work}
+	w.machines = append(w.machines, m)
+	if err := m.start(); err != nil {
+		return nil, err
+	}
+	time.Sleep(100 * time.Millisecond) // so that the daemon hears the first heartbeat
+	return m, m.server.start()
+}
+
 // run starts the deployment and waits until it serves.
 func (w *world) run(probes ...func() bool) error {
 	for _, m := range w.machines {
@@ -862,6 +888,7 @@
 	"poison-after-restart":  poisonAfterRestart,
 	"leave-then-restart":    leaveThenRestart,
 	"empty-first-segment":   emptyFirstSegment,
+	"address-reused":        addressReused,
 }
 
 func main() { os.Exit(play()) }
@@ -1190,3 +1217,86 @@
 	}
 	return w.verdict(changed > 0, "%d of %d runs had another method or path than the request that was sent", changed, ran)
 }
+
+// addressReused removes two machines for good; their addresses go to machines of another
+// service after the bound reuse_after, while the store is silent.
+func addressReused(w *world) int {
+	const (
+		reuseAfter = 2 * time.Second
+		silence    = 8 * time.Second
+		portals    = 8
+	)
+	owners := map[string]string{"/rulings/": "desk", "/bookings/": "booking"}
+	places := [][2]string{{"south", "desk"}, {"west", "booking"}, {"east", "vault"}}
+	for range portals {
+		places = append(places, [2]string{"north", "portal"})
+	}
+	for _, at := range places {
+		if err := w.add(at[0], at[1], 54, constant(290*time.Millisecond)); err != nil {
+			return w.fail(err)
+		}
+	}
+	var routes []route
+	for prefix, service := range owners {
+		routes = append(routes, route{Name: "r-" + service, Host: "desk.example", Prefix: prefix, Kind: "unsafe", Timeout: "1500ms", Target: "1500ms", Priority: 1, Service: service, Attempts: 2})
+	}
+	if err := w.configure(7, routes...); err != nil {
+		return w.fail(err)
+	}
+	if err := w.run(w.serves("POST", "desk.example", "/rulings/0"), w.serves("POST", "desk.example", "/bookings/0")); err != nil {
+		return w.fail(err)
+	}
+	ctx, stop := context.WithCancel(w.ctx)
+	defer stop()
+	for _, m := range w.machines[len(places)-portals:] {
+		for prefix := range owners {
+			w.load(ctx, m, 2, "POST", "desk.example", prefix, 4000, 5*time.Second)
+		}
+		sleep(ctx, time.Second/2/portals)
+	}
+	sleep(ctx, contact+time.Second)
+	if w.trouble {
+		gone := w.machines[:len(owners)]
+		for _, old := range gone {
+			old.remove()
+		}
+		again := time.Now().Add(reuseAfter + 100*time.Millisecond)
+		if os.Getenv("STORE") != "0" {
+			sleep(ctx, 500*time.Millisecond)
+			w.rec.log("the store is silent")
+			w.store.SetFault(meshsim.Silent)
+			time.AfterFunc(silence, func() {
+				w.rec.log("the store answers")
+				w.store.SetFault(meshsim.Healthy)
+			})
+		}
+		sleep(ctx, time.Until(again))
+		for _, old := range gone {
+			if _, err := w.addAt(old, "vault", 54, constant(290*time.Millisecond)); err != nil {
+				return w.fail(err)
+			}
+		}
+	}
+	sleep(ctx, 12*time.Second)
+	stop()
+	w.clients.Wait()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	wrong, answered := 0, 0
+	for _, a := range w.arrivals {
+		prefix := a.path[:strings.LastIndexByte(a.path, '/')+1]
+		if !a.ran || a.service == owners[prefix] {
+			continue
+		}
+		wrong++
+		how := "no 200"
+		for _, r := range w.results {
+			if r.id == a.id && r.status == http.StatusOK {
+				answered++
+				how = "200"
+			}
+		}
+		w.rec.log("ROUTE: %s on %s, which only goes to %s, ran at server %s of %s; its client got %s", a.id, prefix, owners[prefix], a.server, a.service, how)
+	}
+	return w.verdict(wrong > 0, "%d unsafe requests ran at a server of a service that no configuration names for them; %d of their clients got 200", wrong, answered)
+}
