Requests for another service are refused by the daemon that gets them

Cause: a request on a link names its service, but the receiving daemon compared that with nothing. Senders know a peer by its address, and hear of a new holder only later.

Ruled out: resumed requests, which are looked up by a session that the new process doesn't know; probes of the membership, which name their target.

Change: the daemon checks the service in front of claims, crash guard and runner, for links and its own port alike. Event 516 and a metric tell of it. The rate limit that peers remember of an upstream is kept by service too.

--- a/core/route/load.go
+++ b/core/route/load.go
@@ -97,6 +97,12 @@
 // remembered after the peer reported it. A daemon that restarts learns it in that time.
 const rateLimitMemory = 10 * time.Second
 
+// upstreamKey identifies a peer's upstream. An instance may return under the same id
+// beside an upstream of another service.
+type upstreamKey struct {
+	service, instance string
+}
+
 // rateLimit is a rate limit that a peer reported.
 type rateLimit struct {
 	perSecond float64
@@ -105,19 +111,19 @@
 
 // recordRateLimit remembers the rate limit that a peer reports, also beyond the end of
 // its process.
-func (p *Picker) recordRateLimit(now time.Time, id string, l Load) {
+func (p *Picker) recordRateLimit(now time.Time, upstream upstreamKey, l Load) {
 	switch {
 	case l.Slots == 0:
 	case l.RateLimit > 0:
-		p.rateLimits[id] = rateLimit{l.RateLimit, now}
+		p.rateLimits[upstream] = rateLimit{l.RateLimit, now}
 	default:
-		delete(p.rateLimits, id)
+		delete(p.rateLimits, upstream)
 	}
 }
 
 // knownRateLimit returns the rate limit of a peer's upstream, 0 if none is known.
-func (p *Picker) knownRateLimit(now time.Time, id string) float64 {
-	if r, known := p.rateLimits[id]; known && now.Sub(r.at) < rateLimitMemory {
+func (p *Picker) knownRateLimit(now time.Time, upstream upstreamKey) float64 {
+	if r, known := p.rateLimits[upstream]; known && now.Sub(r.at) < rateLimitMemory {
 		return r.perSecond
 	}
 	return 0
@@ -125,5 +131,5 @@
 
 // forgetRateLimits removes the rate limits that are no longer remembered.
 func (p *Picker) forgetRateLimits(now time.Time) {
-	maps.DeleteFunc(p.rateLimits, func(_ string, r rateLimit) bool { return now.Sub(r.at) >= rateLimitMemory })
+	maps.DeleteFunc(p.rateLimits, func(_ upstreamKey, r rateLimit) bool { return now.Sub(r.at) >= rateLimitMemory })
 }
--- a/core/route/load_test.go
+++ b/core/route/load_test.go
@@ -95,3 +95,18 @@
 	p.Done(start, "desk", "b", Result{Load: Load{Slots: 10}}) // the limit has ended
 	is.Equal(pick(start), 0.0)
 }
+
+// TestRateLimitIsOfOneService checks that an instance that returns under its id beside an
+// upstream of another service isn't given the rate limit of the former one.
+func TestRateLimitIsOfOneService(t *testing.T) {
+	is := is.New(t)
+	p := NewPicker(Locality{Instance: "a", Region: "south", DataCentre: "south-1"})
+	peer := Peer{ID: "b", Service: "desk", Region: "south", DataCentre: "south-1", Addr: "b:1", Started: 1}
+	p.Update(start, []Peer{peer})
+	p.Done(start, "desk", "b", Result{Load: Load{Slots: 10, RateLimit: 16}})
+	peer.Service, peer.Started = "booking", 2
+	p.Update(start, []Peer{peer})
+	choice, ok := p.Pick(start, Query{Service: "booking"}, newRandom())
+	is.True(ok)
+	is.Equal(choice.RateLimit, 0.0)
+}
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -35,13 +35,13 @@
 	services   map[string]*service
 	candidates []*peerState
 	inRegion   int
-	// rateLimits are the rate limits that peers reported, by instance id.
-	rateLimits map[string]rateLimit
+	// rateLimits are the rate limits that peers reported.
+	rateLimits map[upstreamKey]rateLimit
 }
 
 // NewPicker returns a Picker without peers for a daemon at a locality.
 func NewPicker(locality Locality) *Picker {
-	return &Picker{locality: locality, services: map[string]*service{}, rateLimits: map[string]rateLimit{}}
+	return &Picker{locality: locality, services: map[string]*service{}, rateLimits: map[upstreamKey]rateLimit{}}
 }
 
 // Update replaces the known peers. The observations of peers that stay are
@@ -132,7 +132,7 @@
 		return Choice{}, false
 	}
 	p.begin(s, peer)
-	return Choice{peer.Peer, peer.tier == tierCrossRegion, p.knownRateLimit(now, peer.ID)}, true
+	return Choice{peer.Peer, peer.tier == tierCrossRegion, p.knownRateLimit(now, upstreamKey{peer.Service, peer.ID})}, true
 }
 
 // choose returns the peer for a call, or nil. It takes the cheaper of two
@@ -234,7 +234,7 @@
 	peer.inFlight = max(peer.inFlight-1, 0)
 	peer.record(now, r)
 	peer.recordLoad(now, r.Load)
-	p.recordRateLimit(now, id, r.Load)
+	p.recordRateLimit(now, upstreamKey{serviceName, id}, r.Load)
 	if r.Failed {
 		s.ejectIfOutlier(now, peer)
 	}
--- a/node/daemon/daemon.go
+++ b/node/daemon/daemon.go
@@ -56,7 +56,7 @@
 	listener    *link.Listener
 	gate        *upstream.Gate
 	runner      *upstream.Runner
-	localServer call.Server // claims and crash guard in front of the runner
+	localServer call.Server // service check, claims and crash guard in front of the runner
 	claims      *once.ClaimManager
 	guard       *suspect.Guard
 	gateway     *gateway.Gateway
--- a/node/daemon/once.go
+++ b/node/daemon/once.go
@@ -13,8 +13,9 @@
 )
 
 // initLocalServer creates the server for requests to this instance's upstream. In
-// front of the runner, the claims ensure that a non-idempotent request runs at most
-// once, and the guard refuses requests that crashed upstreams.
+// front of the runner, requests for other services are refused, the claims ensure that
+// a non-idempotent request runs at most once, and the guard refuses requests that
+// crashed upstreams.
 func (d *Daemon) initLocalServer(store kv.Store, base *url.URL) {
 	d.claims = once.NewClaimManager(once.Config{
 		Instance: d.config.InstanceID, Service: d.config.Service,
@@ -25,7 +26,9 @@
 		Peers: func() []route.Peer { return d.picker.ServicePeers(d.config.Service) },
 	}
 	d.guard = suspect.NewGuard(d.runner, base.Host, broadcaster, d.log)
-	d.localServer = once.NewServer(d.claims, d.guard)
+	check := &serviceCheck{service: d.config.Service, next: once.NewServer(d.claims, d.guard), log: d.log}
+	d.localServer = check
+	d.metrics.Gauge("fuchsiavane_requests_misdirected_total", func() float64 { return float64(check.refused.Load()) })
 	d.registerClaimMetrics()
 	d.metrics.Gauge("fuchsiavane_upstream_crashes_total", func() float64 { return float64(d.guard.Crashes()) })
 	d.metrics.Gauge("fuchsiavane_suspects", func() float64 { return float64(len(d.guard.Ledger().List(time.Now()))) })
--- a/node/event/catalogue.go
+++ b/node/event/catalogue.go
@@ -46,6 +46,7 @@
 	RequestRefused          = Event{505, "request-held", plog.InfoLevel, "A request got no slot at the upstream and was refused. The fields give the load at the decision: the requests running and queued, the limit, the fraction that the admission level admits, and the age of the root request, by which slots are assigned."}
 	LevelChanged            = Event{506, "level-changed", plog.InfoLevel, "The fraction of a rank's requests that the upstream's admission level admits changed by more than a tenth. The fields give the load at the decision."}
 	RetryDenied             = Event{514, "retry-denied", plog.InfoLevel, "A request was not retried: the retry budget of its service is used up for this window. first_sends and retries are this daemon's counts in the window, allowed is its share of the fleet's retry budget."}
+	RequestMisdirected      = Event{516, "request-misdirected", plog.WarnLevel, "A peer sent a request for another service than this daemon's, as when an address has gone to an instance of another service and the peer doesn't know yet. The request did not run; the peer tries another instance. wanted is the service that the request is for."}
 	UpstreamChanged         = Event{512, "upstream-news", plog.InfoLevel, "The instance, phase or slots of this daemon's upstream changed."}
 	UpstreamLimit           = Event{515, "upstream-limit", plog.InfoLevel, "The limit that this daemon's upstream names in its answers changed. per_second is the number of requests that it takes in a second from all callers together, 0 if it names no limit any more. Requests wait for it, or are refused, as for a slot."}
 	HeartbeatIgnored        = Event{513, "upstream-news-refused", plog.WarnLevel, "A heartbeat was ignored: it was malformed, older than the last one accepted, or from another instance."}
@@ -67,7 +68,7 @@
 		SettingsInForce, SettingsRefused, SettingsOlder, SettingsPartlyApplied, SettingsUnreadable, SettingsPullFailed, SettingsReading, ConfigurationPartlyRead,
 		LinkOpened, LinkClosed, LinkRefused, LinkMalformed, LinkNotOpened, LinkRecovered, LinkFrameUnknown,
 		PeersChanged, MemberDead, MemberResumed, InstanceDuplicate, DataCentreUnreachable, DataCentreReachable, MemberRefused, MemberUnknown,
-		RequestAnswered, RequestFailed, RequestRetried, RetryDenied, RequestRefused, LevelChanged, UpstreamChanged, UpstreamLimit, HeartbeatIgnored, ProcessSettingsChanged, ProcessSettingsIgnored, LogLinesLost, LibraryLine,
+		RequestAnswered, RequestFailed, RequestRetried, RetryDenied, RequestRefused, RequestMisdirected, LevelChanged, UpstreamChanged, UpstreamLimit, HeartbeatIgnored, ProcessSettingsChanged, ProcessSettingsIgnored, LogLinesLost, LibraryLine,
 		RequestMalformed, PlatformUnreachable, PlatformReachable, StoreCallFailed,
 		ClaimsNotRefreshed, ClaimsNotReleased, UpstreamCrashed, RequestQuarantined,
 	}
