Signals are received for the whole life of the process

Cause: the handler of SIGHUP belonged to the goroutine that watches the settings file, which ends at the SIGTERM; from then on the default action applied. There was no handler before that goroutine started either.

Ruled out: a reload that fails during the drain; the process ended by the signal.

Change: node/signals installs the handlers of SIGTERM, SIGINT and SIGHUP before anything else and keeps them. A stop that comes before the ports are open ends the process without opening them. The daemon without "beside" bears SIGHUP too.

--- a/cmd/fuchsiavaned/main.go
+++ b/cmd/fuchsiavaned/main.go
@@ -2,12 +2,9 @@
 package main
 
 import (
-	"context"
 	"flag"
 	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/pkg/errors"
 
@@ -15,6 +12,7 @@
 	"fuchsiavane.org/node/daemon"
 	"fuchsiavane.org/node/event"
 	"fuchsiavane.org/node/kv/client"
+	"fuchsiavane.org/node/signals"
 	"fuchsiavane.org/platform"
 )
 
@@ -32,8 +30,9 @@
 
 // run runs the daemon and returns the exit status.
 func run() int {
+	received := signals.Receive()
 	if len(os.Args) == 2 && os.Args[1] == platformCommand {
-		return runOnPlatform()
+		return runOnPlatform(received)
 	}
 	c, err := config.Parse(os.Args[1:], os.Stderr)
 	if errors.Is(err, flag.ErrHelp) {
@@ -55,9 +54,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitUsage
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
-	if err := d.Run(ctx); err != nil {
+	if err := d.Run(received.Stopping()); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitFailure
 	}
@@ -65,8 +62,8 @@
 }
 
 // runOnPlatform runs the daemon on the users' platform and returns the exit status.
-func runOnPlatform() int {
-	if err := platform.Run(os.Getenv(platform.SettingsFileVariable)); err != nil {
+func runOnPlatform(received *signals.Receiver) int {
+	if err := platform.Run(os.Getenv(platform.SettingsFileVariable), received); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitFailure
 	}
--- a/node/daemon/daemon.go
+++ b/node/daemon/daemon.go
@@ -157,6 +157,11 @@
 // and then drains. It returns the error of a port that could not be opened or
 // failed, and nil otherwise.
 func (d *Daemon) Run(ctx context.Context) error {
+	if ctx.Err() != nil { // stopped before a port was open
+		d.lifecycle.fire(eventLeave)
+		d.lifecycle.fire(eventFinished)
+		return nil
+	}
 	var err error
 	if d.ports, err = d.listen(); err != nil {
 		d.lifecycle.fire(eventFail)
