The caller port stays open until the runs at the upstream have ended

Callers got a server's 500 for requests that had come in time, since the server's own calls found the port of its stopping daemon closed.

Cause: on the users' platform callers and the upstream share one port, and the drain closed it before it waited for the runs that peers had sent to the upstream.

Ruled out: calls that are cancelled with their parent; the connection is refused.

Change: the drain waits for the runs before it closes the port.

Measured: TestUpstreamMakesItsCallsWhileItsDaemonStops failed before ("connection refused") and passes.

--- a/lab/mesh/stop_test.go
+++ b/lab/mesh/stop_test.go
@@ -180,3 +180,33 @@
 		})
 	}
 }
+
+// TestUpstreamMakesItsCallsWhileItsDaemonStops guards against a daemon that closes the
+// port at which its upstream makes calls while a run at the upstream still needs it.
+func TestUpstreamMakesItsCallsWhileItsDaemonStops(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	desk, registry := f.start("desk", "south-1"), f.start("registry", "south-1")
+	f.configure(1, route("/x/", "unsafe", "registry", 1), route("/y/", "unsafe", "desk", 0))
+	desk.await("ready", "/x/1", status(200))
+	registry.await("ready", "/y/1", status(200))
+	running := make(chan struct{}, 1)
+	nested := make(chan response, 1)
+	registry.upstream.Handler = func(w http.ResponseWriter, r *http.Request) {
+		running <- struct{}{}
+		time.Sleep(1500 * time.Millisecond)
+		nested <- registry.call(http.MethodPost, "/y/2", "", "X-Request-Id", r.Header.Get("X-Request-Id")+".1")
+		registry.upstream.WriteResponse(w, r)
+	}
+	answered := make(chan response, 1)
+	go func() { answered <- desk.call(http.MethodPost, "/x/2", "") }()
+	<-running
+	registry.stop()
+	call := <-nested
+	is.NoErr(call.err)
+	is.Equal(call.status, 200)
+	a := <-answered
+	is.NoErr(a.err)
+	is.Equal(a.status, 200)
+	<-registry.done
+}
--- a/node/daemon/drain.go
+++ b/node/daemon/drain.go
@@ -24,7 +24,8 @@
 
 // runDrain drains the daemon: it notifies callers and peers, refuses requests that may
 // outlast the drain, waits for running requests, delivers every response and closes the
-// ports.
+// ports. The caller port stays open as long as requests run, since their upstream may
+// make its calls there.
 func (d *Daemon) runDrain(stopBackground context.CancelFunc, background *sync.WaitGroup) {
 	d.Drain()
 	d.gateway.SetLeaving()
@@ -43,8 +44,8 @@
 	d.gateway.StartDraining(plan)
 	d.runner.StartDraining(plan)
 	d.announceDrain(ctx, plan.Notice)
-	d.ports.drainCallerPort(ctx)
 	d.awaitRuns(ctx)
+	d.ports.drainCallerPort(ctx)
 	cut := d.runner.InFlight()
 	d.closeLinks(ctx)
 	d.ports.drainLocalPort(ctx)
