Departures of an upstream outlive the daemon's process

Cause: departures were in the memory of the process.

Ruled out: peers that don't know of the leave; in the test they do, and the requests run from the late heartbeat on. Weighed and not taken: the memory of peers (lost when all processes are killed; a data centre may have one daemon), the upstream's health answer (may be false).

While the store can't be read, the second heartbeat makes the upstream ready. Events 517 and 607.

--- a/lab/mesh/mesh_test.go
+++ b/lab/mesh/mesh_test.go
@@ -270,6 +270,49 @@
 	}
 }
 
+// TestLeavingOutlivesTheDaemon guards against a daemon that forgets by a restart that it
+// has acknowledged its upstream's leaving, and takes a late heartbeat for news.
+func TestLeavingOutlivesTheDaemon(t *testing.T) {
+	for _, announcement := range []string{"draining", "deregister"} {
+		for _, fault := range []meshsim.Fault{meshsim.Healthy, meshsim.Unavailable} {
+			t.Run(fmt.Sprint(announcement, " ", fault), func(t *testing.T) {
+				is := is.New(t)
+				f := newFleet(t)
+				desk, leaving := f.start("desk", "south-1"), f.start("registry", "south-1")
+				f.configure(1, route("/x/", "unsafe", "registry", 0))
+				desk.await("ready", "/x/1", status(200))
+				leaving.stopAnnouncing()
+				time.Sleep(2 * heartbeatInterval)
+				control := leaving.settings.AnnounceListen.String()
+				if announcement == "draining" {
+					is.NoErr(leaving.upstream.Announce(control, "draining"))
+				} else {
+					is.NoErr(leaving.upstream.Deregister(control))
+				}
+				leaving.stop()
+				<-leaving.done
+				f.store.SetFault(fault) // while the new process starts
+				leaving.settings.Seeds = []netip.AddrPort{desk.settings.PeerListen}
+				leaving.run()
+				runsBefore := len(leaving.upstream.Runs())
+				for announced := false; !announced; time.Sleep(pollInterval) {
+					announced = leaving.upstream.Announce(control, "ready") == nil // the late heartbeat
+				}
+				for range 20 {
+					is.Equal(desk.call(http.MethodPost, "/x/1", "").status, 503)
+					time.Sleep(pollInterval)
+				}
+				f.store.SetFault(meshsim.Healthy)
+				for range 20 {
+					is.Equal(desk.call(http.MethodPost, "/x/1", "").status, 503)
+					time.Sleep(pollInterval)
+				}
+				is.Equal(len(leaving.upstream.Runs()), runsBefore)
+			})
+		}
+	}
+}
+
 // TestAddressUsedAgain has an upstream with another id at the address of a known one.
 // The upstream responds with 421, and the request must be reported as not run.
 func TestAddressUsedAgain(t *testing.T) {
--- a/node/daemon/daemon.go
+++ b/node/daemon/daemon.go
@@ -16,6 +16,7 @@
 	"fuchsiavane.org/node/bodies"
 	"fuchsiavane.org/node/call"
 	"fuchsiavane.org/node/config"
+	"fuchsiavane.org/node/departure"
 	"fuchsiavane.org/node/event"
 	"fuchsiavane.org/node/gateway"
 	"fuchsiavane.org/node/kv"
@@ -76,6 +77,9 @@
 type Options struct {
 	// Presence tracks the upstream's heartbeats; nil if the upstream sends none.
 	Presence *presence.Presence
+	// Departures keeps the departures of Presence in the store; nil if they end with the
+	// process.
+	Departures *departure.Keeper
 	// CallerDialect is the header convention of the caller port. If it is set, the
 	// port routes calls by host and path, including calls from the upstream; nil
 	// selects fuchsiavane's own headers.
@@ -187,7 +191,11 @@
 	if d.options.Presence != nil {
 		group.Go(func() { d.watchUpstream(background) })
 	}
-	stopGate := d.runGate()
+	stopGate := runUntilStopped(d.gate.Run)
+	stopDepartures := func() {}
+	if d.options.Departures != nil {
+		stopDepartures = runUntilStopped(d.options.Departures.Run)
+	}
 	failed := d.ports.serve()
 	d.log.Log(event.DaemonStarted).Str("service", d.config.Service).Str("peer_listen", d.config.PeerListen).Msg("daemon started")
 	select {
@@ -198,16 +206,17 @@
 	}
 	d.runDrain(stopBackground, &group)
 	stopGate()
+	stopDepartures()
 	return err
 }
 
-// runGate starts the gate's background loop. It has a context of its own because a
-// drain waits for requests that are still in the gate. The returned function stops
-// the loop and waits for its end.
-func (d *Daemon) runGate() func() {
+// runUntilStopped starts a background loop that goes on during a drain, which waits for
+// requests that are still in the gate and may learn that the upstream leaves. The
+// returned function stops the loop and waits for its end.
+func runUntilStopped(run func(context.Context)) func() {
 	ctx, cancel := context.WithCancel(context.Background())
 	var group sync.WaitGroup
-	group.Go(func() { d.gate.Run(ctx) })
+	group.Go(func() { run(ctx) })
 	return func() {
 		cancel()
 		group.Wait()
--- a/node/event/catalogue.go
+++ b/node/event/catalogue.go
@@ -50,6 +50,7 @@
 	UpstreamChanged         = Event{512, "upstream-news", plog.InfoLevel, "The instance, phase or slots of this daemon's upstream changed."}
 	UpstreamLimit           = Event{515, "upstream-limit", plog.InfoLevel, "The limit that this daemon's upstream names in its answers changed. per_second is the number of requests that it takes in a second from all callers together, 0 if it names no limit any more. Requests wait for it, or are refused, as for a slot."}
 	HeartbeatIgnored        = Event{513, "upstream-news-refused", plog.WarnLevel, "A heartbeat was ignored: it was malformed, older than the last one accepted, or from another instance."}
+	DeparturesRecalled      = Event{517, "departures-recalled", plog.InfoLevel, "An earlier process of this daemon has acknowledged that upstreams leave. count is their number, latest the last one. A late heartbeat does not bring them back."}
 	ProcessSettingsChanged  = Event{106, "process-settings-changed", plog.InfoLevel, "The file of process settings changed. The fields name what changed; changes apply from the next start unless the line says otherwise."}
 	LogLinesLost            = Event{107, "log-lines-lost", plog.WarnLevel, "Log lines were dropped because they were written faster than they could be read, or too often for their kind. count gives the number dropped since the last such line; warnings and errors are dropped last."}
 	UpstreamCrashed         = Event{510, "upstream-crashed", plog.WarnLevel, "The upstream died with requests in flight. Each of them runs alone from now on, until one of its runs ends without a crash."}
@@ -57,6 +58,7 @@
 	PlatformUnreachable     = Event{601, "platform-away", plog.WarnLevel, "The platform's store can't be read. cause is silent if calls end without a response, and refuses if the store turns them away. The daemon continues with the data that it has."}
 	PlatformReachable       = Event{602, "platform-back", plog.InfoLevel, "The platform's store answers again."}
 	StoreCallFailed         = Event{606, "store-call-failed", plog.WarnLevel, "A call that reads the settings from the platform's store failed. call is its kind, took_ms its time, and revision the settings in force."}
+	DepartureNotStored      = Event{607, "departure-not-stored", plog.WarnLevel, "The departures of the upstream could not be read from the platform's store, if recalled is false, or written to it. The daemon goes on trying. Until they are read, an upstream is used from its second heartbeat on."}
 	ClaimsNotRefreshed      = Event{603, "claims-not-refreshed", plog.WarnLevel, "The claims on keys of non-idempotent requests could not be refreshed. The instance runs such requests until its claims expire; see docs/operations/once.md."}
 	ClaimsNotReleased       = Event{604, "claims-not-released", plog.WarnLevel, "A leaving instance could not release its claims. Requests with the keys that it owned are refused until the claims expire."}
 )
@@ -68,8 +70,8 @@
 		SettingsInForce, SettingsRefused, SettingsOlder, SettingsPartlyApplied, SettingsUnreadable, SettingsPullFailed, SettingsReading, ConfigurationPartlyRead,
 		LinkOpened, LinkClosed, LinkRefused, LinkMalformed, LinkNotOpened, LinkRecovered, LinkFrameUnknown,
 		PeersChanged, MemberDead, MemberResumed, InstanceDuplicate, DataCentreUnreachable, DataCentreReachable, MemberRefused, MemberUnknown,
-		RequestAnswered, RequestFailed, RequestRetried, RetryDenied, RequestRefused, RequestMisdirected, LevelChanged, UpstreamChanged, UpstreamLimit, HeartbeatIgnored, ProcessSettingsChanged, ProcessSettingsIgnored, LogLinesLost, LibraryLine,
-		RequestMalformed, PlatformUnreachable, PlatformReachable, StoreCallFailed,
+		RequestAnswered, RequestFailed, RequestRetried, RetryDenied, RequestRefused, RequestMisdirected, LevelChanged, UpstreamChanged, UpstreamLimit, HeartbeatIgnored, DeparturesRecalled, ProcessSettingsChanged, ProcessSettingsIgnored, LogLinesLost, LibraryLine,
+		RequestMalformed, PlatformUnreachable, PlatformReachable, StoreCallFailed, DepartureNotStored,
 		ClaimsNotRefreshed, ClaimsNotReleased, UpstreamCrashed, RequestQuarantined,
 	}
 	slices.SortFunc(all, func(a, b Event) int { return a.Number - b.Number })
--- a/node/presence/presence.go
+++ b/node/presence/presence.go
@@ -3,11 +3,20 @@
 //
 // An upstream announces itself with heartbeats. Each start of it is an incarnation
 // with a start time; heartbeats of an older incarnation, or older heartbeats of the
-// same one, change nothing. The package is a state machine that gets the time as an
-// argument; it is safe for concurrent use.
+// same one, change nothing.
+//
+// An acknowledged departure outlives the daemon's process: package departure keeps it in
+// the platform's store. Until the departures of earlier processes are recalled, a single
+// heartbeat doesn't make the upstream ready, since it may have been sent before the
+// departure. A second one, sent later, does, so that an outage of the store takes no
+// upstream away.
+//
+// The package is a state machine that gets the time as an argument; it is safe for
+// concurrent use.
 package presence
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -61,13 +70,16 @@
 	WarmUpEnd time.Time
 }
 
-// departure is what is known of an incarnation that is leaving.
-type departure struct {
-	at time.Time
-	// startedAt is the start of the incarnation, if startKnown is set. A daemon that
+// Departure is what is known of an incarnation that is leaving.
+type Departure struct {
+	// Instance identifies the incarnation.
+	Instance string
+	// At is when the daemon was notified.
+	At time.Time
+	// StartedAt is the start of the incarnation, if StartKnown is set. A daemon that
 	// has just started may receive the notice of leaving before any heartbeat.
-	startedAt  int64
-	startKnown bool
+	StartedAt  int64
+	StartKnown bool
 }
 
 const (
@@ -81,14 +93,14 @@
 )
 
 // supersedes reports whether a heartbeat is older than the notice of leaving.
-func (d *departure) supersedes(now time.Time, b Heartbeat) bool {
+func (d *Departure) supersedes(now time.Time, b Heartbeat) bool {
 	if b.Phase == PhaseDraining {
 		return false
 	}
-	if d.startKnown {
-		return b.StartedAt <= d.startedAt
+	if d.StartKnown {
+		return b.StartedAt <= d.StartedAt
 	}
-	return b.Sequence > maxRestartSequence && now.Sub(d.at) < lateHeartbeatTime
+	return b.Sequence > maxRestartSequence && now.Sub(d.At) < lateHeartbeatTime
 }
 
 // Errors of RecordHeartbeat and MarkLeaving.
@@ -107,8 +119,16 @@
 	state State
 	// departures holds the incarnations that have announced their departure, by
 	// instance.
-	departures map[string]departure
-	changed    chan struct{}
+	departures map[string]Departure
+	// departureVersion counts the changes of departures.
+	departureVersion uint64
+	// recallPending is set until the departures of earlier processes are known.
+	recallPending bool
+	// confirmed is set once a second heartbeat has shown that the upstream goes on, and
+	// firstHeartbeatAt is when the first heartbeat of its incarnation was received.
+	confirmed        bool
+	firstHeartbeatAt time.Time
+	changed          chan struct{}
 }
 
 // New returns a Presence without a known upstream. interval is the time between an
@@ -117,7 +137,7 @@
 	return &Presence{
 		interval:   interval,
 		state:      State{Heartbeat: Heartbeat{Phase: PhaseAbsent}},
-		departures: map[string]departure{},
+		departures: map[string]Departure{},
 		changed:    make(chan struct{}, 1),
 	}
 }
@@ -138,9 +158,15 @@
 		return ErrStale
 	}
 	if b.Phase == PhaseDraining {
-		p.recordDeparture(b.Instance, departure{now, b.StartedAt, true})
+		p.recordDeparture(Departure{b.Instance, now, b.StartedAt, true})
 	}
-	changed := b.Instance != p.state.Instance || b.Phase != p.state.Phase || b.Slots != p.state.Slots || b.StartedAt != p.state.StartedAt
+	sameIncarnation := b.Instance == p.state.Instance && b.StartedAt == p.state.StartedAt
+	if !sameIncarnation {
+		p.confirmed, p.firstHeartbeatAt = false, now
+	}
+	confirms := sameIncarnation && !p.confirmed && now.Sub(p.firstHeartbeatAt) >= p.interval/2
+	p.confirmed = p.confirmed || confirms
+	changed := !sameIncarnation || b.Phase != p.state.Phase || b.Slots != p.state.Slots || confirms && p.recallPending
 	p.state = State{Heartbeat: b, ReceivedAt: now, WarmUpEnd: now.Add(b.WarmUpRemaining)}
 	if changed {
 		p.notify()
@@ -168,14 +194,50 @@
 const maxDepartures = 64
 
 // recordDeparture records an incarnation that is leaving. The caller holds the lock.
-func (p *Presence) recordDeparture(instance string, d departure) {
-	if p.departures[instance].startKnown && !d.startKnown {
-		return // the known departure has the start time
+func (p *Presence) recordDeparture(d Departure) {
+	known, departed := p.departures[d.Instance]
+	if departed && (known.StartKnown && !d.StartKnown || known.StartKnown == d.StartKnown && known.StartedAt >= d.StartedAt) {
+		return // the known departure tells as much
 	}
 	if len(p.departures) >= maxDepartures {
 		clear(p.departures)
 	}
-	p.departures[instance] = d
+	p.departures[d.Instance] = d
+	p.departureVersion++
+}
+
+// Departures returns the known departures, the latest first, and their version, which
+// changes with them.
+func (p *Presence) Departures() ([]Departure, uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := make([]Departure, 0, len(p.departures))
+	for _, d := range p.departures {
+		list = append(list, d)
+	}
+	slices.SortFunc(list, func(a, b Departure) int { return b.At.Compare(a.At) })
+	return list, p.departureVersion
+}
+
+// AwaitRecall makes the Presence wait for Recall before it relies on a single heartbeat.
+func (p *Presence) AwaitRecall() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.recallPending = true
+}
+
+// Recall adds the departures that earlier processes of the daemon have acknowledged.
+func (p *Presence) Recall(now time.Time, departures []Departure) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.recallPending = false
+	for _, d := range departures {
+		p.recordDeparture(d)
+	}
+	if d, departed := p.departures[p.state.Instance]; departed && d.supersedes(now, p.state.Heartbeat) {
+		p.state.Phase = PhaseAbsent
+	}
+	p.notify()
 }
 
 // MarkLeaving records that an instance is leaving. It returns ErrOtherInstance if the
@@ -185,10 +247,10 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.state.Instance != instance {
-		p.recordDeparture(instance, departure{at: now})
+		p.recordDeparture(Departure{Instance: instance, At: now})
 		return ErrOtherInstance
 	}
-	p.recordDeparture(instance, departure{now, p.state.StartedAt, true})
+	p.recordDeparture(Departure{instance, now, p.state.StartedAt, true})
 	p.state.Phase = PhaseAbsent
 	p.notify()
 	return nil
@@ -202,7 +264,7 @@
 	if p.state.Instance != instance || p.state.Phase != PhaseReady {
 		return
 	}
-	p.recordDeparture(instance, departure{now, p.state.StartedAt, true})
+	p.recordDeparture(Departure{instance, now, p.state.StartedAt, true})
 	p.state.Phase = PhaseDraining
 	p.notify()
 }
@@ -227,6 +289,9 @@
 	if p.interval > 0 && state.Phase != PhaseAbsent && now.Sub(state.ReceivedAt) > maxMissedHeartbeats*p.interval {
 		state.Phase = PhaseAbsent
 	}
+	if p.recallPending && !p.confirmed && state.Phase == PhaseReady {
+		state.Phase = PhaseAbsent
+	}
 	return state
 }
 
--- a/node/presence/presence_test.go
+++ b/node/presence/presence_test.go
@@ -125,3 +125,43 @@
 	is.NoErr(p.RecordHeartbeat(start, heartbeat("a", 2, 1, PhaseReady)))
 	is.Equal(p.Current(start).Phase, PhaseReady)
 }
+
+// TestFirstHeartbeatOfANewProcess checks that a daemon's new process doesn't take a single
+// heartbeat, which may be late, for news of its upstream before it knows what its
+// predecessor has acknowledged.
+func TestFirstHeartbeatOfANewProcess(t *testing.T) {
+	start := time.Unix(1000, 0)
+	left := Departure{Instance: "a", At: start.Add(-time.Second), StartedAt: 1, StartKnown: true}
+	unknownStart := Departure{Instance: "a", At: start.Add(-time.Second)}
+	for _, c := range []struct {
+		name   string
+		at     time.Duration // of the second heartbeat
+		recall []Departure
+		want   [3]Phase // after one heartbeat, after the recall, after a second heartbeat
+	}{
+		{"nothing to recall", interval, []Departure{}, [3]Phase{PhaseAbsent, PhaseReady, PhaseReady}},
+		{"it has left", interval, []Departure{left}, [3]Phase{PhaseAbsent, PhaseAbsent, PhaseAbsent}},
+		{"it has left, its start is not known", interval, []Departure{unknownStart}, [3]Phase{PhaseAbsent, PhaseAbsent, PhaseAbsent}},
+		{"another has left", interval, []Departure{{Instance: "b", At: start, StartedAt: 9, StartKnown: true}}, [3]Phase{PhaseAbsent, PhaseReady, PhaseReady}},
+		{"no recall, it goes on", interval, nil, [3]Phase{PhaseAbsent, PhaseAbsent, PhaseReady}},
+		{"no recall, late heartbeats at once", interval / 10, nil, [3]Phase{PhaseAbsent, PhaseAbsent, PhaseAbsent}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			p := New(interval)
+			p.AwaitRecall()
+			is.NoErr(p.RecordHeartbeat(start, heartbeat("a", 1, 7, PhaseReady)))
+			is.Equal(p.Current(start).Phase, c.want[0])
+			if c.recall != nil {
+				p.Recall(start, c.recall)
+			}
+			is.Equal(p.Current(start).Phase, c.want[1])
+			second := start.Add(c.at)
+			_ = p.RecordHeartbeat(second, heartbeat("a", 1, 8, PhaseReady))
+			is.Equal(p.Current(second).Phase, c.want[2])
+			is.NoErr(p.RecordHeartbeat(second, heartbeat("a", 2, 1, PhaseReady))) // a new start
+			p.Recall(second, nil)
+			is.Equal(p.Current(second).Phase, PhaseReady)
+		})
+	}
+}
