--- a/lab/cmd/soak/main.go
+++ b/lab/cmd/soak/main.go
@@ -22,9 +22,9 @@
 	length := flag.Duration("length", 10*time.Second, "`time` during which faults are injected")
 	verbose := flag.Bool("v", false, "print the injected faults")
 	keep := flag.String("keep", "", "`folder` for the logs; if empty, a temporary one that is removed after a run without violations")
+	program := flag.String("program", "", "`path` of the daemon, for example of an earlier version; if empty, it is built")
 	flag.Parse()
 	status := 0
-	program := ""
 	for n := range *seeds {
 		seed := *first + uint64(n)
 		folder := filepath.Join(*keep, fmt.Sprint("seed-", seed))
@@ -38,7 +38,7 @@
 			fmt.Fprintln(os.Stderr, err)
 			return 1
 		}
-		report, err := soak.Run(soak.Config{Seed: seed, Instances: *instances, Callers: *callers, Length: *length, Folder: folder, Program: program})
+		report, err := soak.Run(soak.Config{Seed: seed, Instances: *instances, Callers: *callers, Length: *length, Folder: folder, Program: *program})
 		if err != nil {
 			fmt.Fprintln(os.Stderr, err)
 			return 1
--- a/lab/soak/callers.go
+++ b/lab/soak/callers.go
@@ -17,7 +17,8 @@
 // replaceUpstream replaces the upstream of an instance by a new one at the same
 // address.
 func (s *harness) replaceUpstream(i *instance, address string) {
-	u := meshsim.NewUpstream(fmt.Sprintf("%s-%d", i.name, s.ids.Add(1)), i.service)
+	name, service := i.identity()
+	u := meshsim.NewUpstream(fmt.Sprintf("%s-%d", name, s.ids.Add(1)), service)
 	u.Address = address
 	ctx, stop := context.WithCancel(context.Background())
 	next := &upstream{Upstream: u, phase: "ready", stop: stop}
@@ -141,7 +142,8 @@
 		for _, path := range []string{"/desk/safe/", "/registry/safe/", fmt.Sprintf("/version-%d/", s.version.Load())} {
 			for !s.serves(client, i, path) {
 				if time.Now().After(end) {
-					s.addViolation("RECOVER: %s does not serve %s", i.name, path)
+					name, _ := i.identity()
+					s.addViolation("RECOVER: %s does not serve %s", name, path)
 					return false
 				}
 				time.Sleep(50 * time.Millisecond)
--- a/lab/soak/process.go
+++ b/lab/soak/process.go
@@ -25,14 +25,18 @@
 
 // instance is a daemon in its own process, with its upstream.
 type instance struct {
-	name, service, dataCentre string
-	settingsPath              string
-	callerAddr, readyAddr     string
-	controlAddr               string
-	program                   string
-	log                       *os.File
-
-	mu             sync.Mutex
+	number                int
+	dataCentre            string
+	settingsPath          string
+	addrs                 []string // of the ports
+	callerAddr, readyAddr string
+	controlAddr           string
+	program               string
+	log                   *os.File
+
+	mu sync.Mutex
+	// name and service change when another instance takes over the addresses.
+	name, service  string
 	process        *exec.Cmd
 	exited         chan struct{} // closed when the process has ended
 	disturbedUntil time.Time     // end of the latest fault on the instance
@@ -49,13 +53,27 @@
 	stop    context.CancelFunc
 }
 
-// settingsFile writes the process settings as the platform would, with free ports.
-func (i *instance) settingsFile(app, store string) error {
-	addrs, err := freeport.Addrs(5)
-	if err != nil {
+// choosePorts chooses free ports.
+func (i *instance) choosePorts() error {
+	var err error
+	if i.addrs, err = freeport.Addrs(5); err != nil {
 		return errors.Wrap(err, "ports")
 	}
-	i.callerAddr, i.readyAddr, i.controlAddr = addrs[0], addrs[2], addrs[3]
+	i.callerAddr, i.readyAddr, i.controlAddr = i.addrs[0], i.addrs[2], i.addrs[3]
+	return nil
+}
+
+// identity returns the name and service of the instance.
+func (i *instance) identity() (name, service string) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.name, i.service
+}
+
+// settingsFile writes the process settings as the platform would.
+func (i *instance) settingsFile(app, store string) error {
+	addrs := i.addrs
+	name, service := i.identity()
 	text := fmt.Sprintf(`node_name=%s
 zone=%s
 region=south
@@ -71,7 +89,7 @@
 bounds.retry_budget_ratio=0.2
 platform.address=%s
 platform.value_bytes=1048576
-`, i.name, i.dataCentre, i.service, app, addrs[0], addrs[1], addrs[2], addrs[3], port(addrs[4]), port(addrs[4]), gracePeriod, store)
+`, name, i.dataCentre, service, app, addrs[0], addrs[1], addrs[2], addrs[3], port(addrs[4]), port(addrs[4]), gracePeriod, store)
 	return errors.Wrap(os.WriteFile(i.settingsPath, []byte(text), 0o600), "settings file")
 }
 
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -182,7 +182,7 @@
 // addInstance starts the nth instance, with its upstream behind a proxy.
 func (s *harness) addInstance(n int, program string) error {
 	i := &instance{
-		name: fmt.Sprintf("instance-%d", n), service: services[n%len(services)], dataCentre: fmt.Sprintf("south-%d", n/len(services)%2+1),
+		number: n, name: fmt.Sprintf("instance-%d", n), service: services[n%len(services)], dataCentre: fmt.Sprintf("south-%d", n/len(services)%2+1),
 		program: program,
 	}
 	i.settingsPath = filepath.Join(s.config.Folder, i.name+".conf")
@@ -202,6 +202,9 @@
 		return err
 	}
 	s.proxies = append(s.proxies, upstreamProxy)
+	if err := i.choosePorts(); err != nil {
+		return err
+	}
 	if err := i.settingsFile(upstreamProxy.Addr(), s.storeProxy.Addr()); err != nil {
 		return err
 	}
@@ -229,7 +232,7 @@
 	if _, err := io.Copy(io.Discard, r.Body); err != nil {
 		return // an incomplete request does not run
 	}
-	s.recordRun(r.Header.Get("X-Request-Id"), i.service)
+	s.recordRun(r.Header.Get("X-Request-Id"), current)
 	time.Sleep(time.Duration(rand.ExpFloat64() * float64(meanRunTime)))
 	if s.dropResponses.Load() && rand.IntN(4) == 0 {
 		panic(http.ErrAbortHandler)
@@ -239,7 +242,7 @@
 }
 
 // recordRun counts a run and checks that a client sent the request to the service.
-func (s *harness) recordRun(id, service string) {
+func (s *harness) recordRun(id string, at *upstream) {
 	s.mu.Lock()
 	r := s.requests[id]
 	if r != nil {
@@ -249,8 +252,8 @@
 	switch {
 	case r == nil:
 		s.addViolation("UNASKED: %s ran, and nobody sent it", id)
-	case r.service != service:
-		s.addViolation("ROUTE: %s is of %s and ran at %s", id, r.service, service)
+	case r.service != at.Service:
+		s.addViolation("ROUTE: %s is of %s and ran at %s of %s", id, r.service, at.ID, at.Service)
 	}
 }
 
