Targets reach the upstream byte for byte

Cause: a target that begins with two slashes was resolved against the upstream's base URL, where they begin an authority.

Ruled out: cleaning of paths by net/http's server; the handler has no mux.

Change: call.OriginForm takes path and query from a target, call.TargetURL gives a URL that net/http sends as exactly these bytes. What it can't send so is refused with 400.

--- a/lab/mesh/mesh_test.go
+++ b/lab/mesh/mesh_test.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -191,6 +192,41 @@
 	is.Equal(desk.call(http.MethodGet, "/x", "").status, 404)
 }
 
+// TestTargetsReachTheUpstreamUnchanged guards against a path whose first segment is empty
+// and gets lost, and against the authority of a target in absolute form.
+func TestTargetsReachTheUpstreamUnchanged(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	desk, registry := f.start("desk", "south-1"), f.start("registry", "south-1")
+	f.configure(1, route("/", "unsafe", "registry", 1))
+	desk.await("ready", "/x/1", status(200))
+	for target, want := range map[string]string{
+		"//rulings/7":            "//rulings/7",
+		"//rulings//7?q=%20&&":   "//rulings//7?q=%20&&",
+		"/rulings|7":             "/rulings|7",
+		"http://h.example//a|b/": "", // can't be sent unchanged: refused, not run
+		"http://h.example/a|b/":  "/a|b/",
+	} {
+		before := len(registry.upstream.Runs())
+		conn, err := net.Dial("tcp", desk.settings.CallerListen.String())
+		is.NoErr(err)
+		_, err = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: t-%d\r\nContent-Length: 0\r\nConnection: close\r\n\r\n", target, lastID.Add(1))
+		is.NoErr(err)
+		answer, err := io.ReadAll(conn)
+		is.NoErr(err)
+		is.NoErr(conn.Close())
+		runs := registry.upstream.Runs()[before:]
+		if want == "" {
+			is.True(strings.HasPrefix(string(answer), "HTTP/1.1 400 "))
+			is.Equal(len(runs), 0)
+			continue
+		}
+		is.True(strings.HasPrefix(string(answer), "HTTP/1.1 200 "))
+		is.Equal(len(runs), 1)
+		is.Equal(runs[0].Target, want)
+	}
+}
+
 func TestConfigurationsTakeForceAndNeverGoBack(t *testing.T) {
 	f := newFleet(t)
 	desk, registry := f.start("desk", "south-1"), f.start("registry", "south-1")
--- a/node/gateway/routed.go
+++ b/node/gateway/routed.go
@@ -107,6 +107,10 @@
 	if route == nil {
 		return nil, call.Refuse(call.NotRun, call.RefusedNoRoute, "no route matches the host and path")
 	}
+	requestURI := call.OriginForm(r.RequestURI)
+	if _, err := call.TargetURL("http", r.Host, requestURI); err != nil {
+		return nil, badRequest(err)
+	}
 	body, held, err := g.readBody(r)
 	if err != nil {
 		return nil, badRequest(err)
@@ -117,7 +121,7 @@
 	values := target.Values()
 	request := &call.Request{
 		ID: head.ID, CallerRequestID: head.ID, Service: target.Service, Host: r.Host, Method: r.Method,
-		RequestURI: r.RequestURI, Path: route.Prefix, Header: header, Body: body,
+		RequestURI: requestURI, Path: route.Prefix, Header: header, Body: body,
 		Caller: head.Caller, Rank: values.Rank, Idempotent: values.IsIdempotent(r.Method),
 		Deadline: now.Add(callTimeout(head.Timeout, values.Timeout)), Timestamp: now,
 	}
--- a/node/upstream/upstream.go
+++ b/node/upstream/upstream.go
@@ -9,7 +9,6 @@
 	"net"
 	"net/http"
 	"net/url"
-	"strings"
 	"sync/atomic"
 	"time"
 
@@ -182,11 +181,11 @@
 	return u.conns.exchange(ctx, request, r.Body, reuseOf(r))
 }
 
-// target returns the URL of a request. If the request has a host, a target that
-// begins with exactly one slash is sent byte for byte.
+// target returns the URL of a request. If the request has a host, its target is sent byte
+// for byte.
 func (u *Runner) target(r *call.Request) (*url.URL, error) {
-	if r.Host != "" && strings.HasPrefix(r.RequestURI, "/") && !strings.HasPrefix(r.RequestURI, "//") {
-		return &url.URL{Scheme: u.base.Scheme, Host: u.base.Host, Opaque: r.RequestURI}, nil
+	if r.Host != "" {
+		return call.TargetURL(u.base.Scheme, u.base.Host, r.RequestURI)
 	}
 	target, err := u.base.Parse(r.RequestURI)
 	return target, errors.Wrap(err, "target")
