A daemon that starts learns suspicions from its peers

Cause: suspicions were told once, at the crash, and could not be asked for.

Ruled out: peers that forget; they hold a quarantine for an hour.

The sealed call, which pulls of the settings use too, is node/peercall; the messages of the pulls are as before.

--- a/node/daemon/daemon.go
+++ b/node/daemon/daemon.go
@@ -60,6 +60,7 @@
 	localServer call.Server // service check, claims and crash guard in front of the runner
 	claims      *once.ClaimManager
 	guard       *suspect.Guard
+	recaller    *suspect.Recaller
 	gateway     *gateway.Gateway
 	regionLink  *gateway.RegionLink
 	bodies      *bodies.Budget
@@ -185,6 +186,7 @@
 	var group sync.WaitGroup
 	d.fleet.start()
 	group.Go(func() { d.updateShares(background) })
+	group.Go(func() { d.recaller.Run(background) })
 	if d.options.CallerDialect == nil {
 		group.Go(func() { d.claims.Run(background) })
 	}
--- a/node/daemon/once.go
+++ b/node/daemon/once.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/url"
+	"slices"
 	"time"
 
 	"fuchsiavane.org/core/route"
@@ -26,6 +27,7 @@
 		Peers: func() []route.Peer { return d.picker.ServicePeers(d.config.Service) },
 	}
 	d.guard = suspect.NewGuard(d.runner, base.Host, broadcaster, d.log)
+	d.recaller = suspect.NewRecaller(d.guard.Ledger(), []byte(d.config.LinkKey), d.serviceNeighbours, d.log)
 	check := &serviceCheck{service: d.config.Service, next: once.NewServer(d.claims, d.guard), log: d.log}
 	d.localServer = check
 	d.metrics.Gauge("fuchsiavane_requests_misdirected_total", func() float64 { return float64(check.refused.Load()) })
@@ -54,6 +56,11 @@
 // Claims returns the status of this daemon's claims on idempotency keys.
 func (d *Daemon) Claims() once.Status { return d.claims.Status() }
 
+// serviceNeighbours returns the other known instances of this daemon's service.
+func (d *Daemon) serviceNeighbours() []route.Peer {
+	return slices.DeleteFunc(d.picker.ServicePeers(d.config.Service), func(p route.Peer) bool { return p.ID == d.config.InstanceID })
+}
+
 // servingInstances returns the instances of this daemon's service that take new
 // requests, sorted.
 func (d *Daemon) servingInstances() []string { return d.picker.Serving(d.config.Service) }
--- a/node/daemon/ports.go
+++ b/node/daemon/ports.go
@@ -16,6 +16,7 @@
 	"fuchsiavane.org/node/link"
 	"fuchsiavane.org/node/membership"
 	"fuchsiavane.org/node/settingsync"
+	"fuchsiavane.org/node/suspect"
 )
 
 const (
@@ -50,6 +51,7 @@
 	peer.Handle(link.Path, d.listener)
 	peer.Handle(membership.Path, d.fleet.members)
 	peer.Handle(settingsync.Path, d.fleet.exchange)
+	peer.Handle(suspect.RecallPath, d.recaller)
 	p := &ports{}
 	for _, want := range []struct {
 		dest    **port
--- a/node/daemon/suspect_test.go
+++ b/node/daemon/suspect_test.go
@@ -1,6 +1,8 @@
 package daemon_test
 
 import (
+	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -13,9 +15,13 @@
 	"github.com/matryer/is"
 
 	"fuchsiavane.org/core/once"
+	coresuspect "fuchsiavane.org/core/suspect"
 	"fuchsiavane.org/node/call"
 	"fuchsiavane.org/node/daemon/daemontest"
+	"fuchsiavane.org/node/event"
 	"fuchsiavane.org/node/kv/memstore"
+	"fuchsiavane.org/node/link"
+	"fuchsiavane.org/node/suspect"
 )
 
 // crashingUpstream is an upstream that closes its listener and all connections when
@@ -143,3 +149,44 @@
 	is.True(quarantined)
 	is.Equal(post(first).Outcome, call.Unknown)
 }
+
+// TestNewProcessKnowsQuarantines guards against a daemon that starts after a crash and
+// gives a quarantined request to its upstream, since only those that ran then know of it.
+func TestNewProcessKnowsQuarantines(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	store := memstore.New()
+	var runs atomic.Int64
+	upstream := http.HandlerFunc(func(http.ResponseWriter, *http.Request) { runs.Add(1) })
+	older := daemontest.Start(t, store, daemontest.Options{ID: "bench-1", Service: "bench", Upstream: upstream})
+	sender := link.NewPool(link.Identity{Instance: "sender"}, link.DefaultTiming(), event.Discard())
+	defer sender.Close()
+	send := func(to *daemontest.Instance, r call.Request) *call.Answer {
+		ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+		defer cancel()
+		r.Service, r.Idempotent, r.Deadline, r.ID = "bench", true, time.Now().Add(20*time.Second), r.Run
+		answer, err := sender.Do(ctx, to.Config.PeerListen, link.ClassUrgent, &r)
+		is.NoErr(err)
+		is.NoErr(answer.Body.Close())
+		return answer
+	}
+	poison := coresuspect.Suspicion{
+		Fingerprint: coresuspect.FingerprintOf("bench", http.MethodGet, "/poison", "", nil),
+		Crashes:     2, Quarantined: true, Until: time.Now().Add(time.Hour),
+	}
+	news, err := json.Marshal([]coresuspect.Suspicion{poison})
+	is.NoErr(err)
+	send(older, call.Request{Run: "news", Method: http.MethodPost, RequestURI: "/", Path: "/", Header: http.Header{suspect.HeaderSuspect: {"told"}}, Body: news})
+	newer := daemontest.Start(t, store, daemontest.Options{ID: "bench-2", Service: "bench", Upstream: upstream})
+	newer.AwaitPeers(0, "bench-1")
+	var answer *call.Answer
+	for attempt := 0; answer == nil || answer.Refusal != call.RefusedQuarantined; attempt++ {
+		is.True(attempt < 1000) // the quarantine must arrive
+		if attempt > 0 {
+			time.Sleep(10 * time.Millisecond)
+		}
+		answer = send(newer, call.Request{Run: fmt.Sprint("poison-", attempt), Method: http.MethodGet, RequestURI: "/poison", Path: "/poison", Header: http.Header{}})
+	}
+	is.Equal(answer.Outcome, call.NotRun)
+	is.Equal(send(newer, call.Request{Run: "other", Method: http.MethodGet, RequestURI: "/glide", Path: "/glide", Header: http.Header{}}).Outcome, call.Ran)
+}
--- a/node/event/catalogue.go
+++ b/node/event/catalogue.go
@@ -54,6 +54,7 @@
 	ProcessSettingsChanged  = Event{106, "process-settings-changed", plog.InfoLevel, "The file of process settings changed. The fields name what changed; changes apply from the next start unless the line says otherwise."}
 	LogLinesLost            = Event{107, "log-lines-lost", plog.WarnLevel, "Log lines were dropped because they were written faster than they could be read, or too often for their kind. count gives the number dropped since the last such line; warnings and errors are dropped last."}
 	UpstreamCrashed         = Event{510, "upstream-crashed", plog.WarnLevel, "The upstream died with requests in flight. Each of them runs alone from now on, until one of its runs ends without a crash."}
+	SuspicionsRecalled      = Event{518, "suspicions-recalled", plog.InfoLevel, "This daemon has just started, and a peer has told it which requests may crash upstreams. count is their number."}
 	RequestQuarantined      = Event{511, "request-quarantined", plog.ErrorLevel, "A request has crashed two upstreams and is refused with 422 for an hour. Find it by its fingerprint and fix the upstream."}
 	PlatformUnreachable     = Event{601, "platform-away", plog.WarnLevel, "The platform's store can't be read. cause is silent if calls end without a response, and refuses if the store turns them away. The daemon continues with the data that it has."}
 	PlatformReachable       = Event{602, "platform-back", plog.InfoLevel, "The platform's store answers again."}
@@ -72,7 +73,7 @@
 		PeersChanged, MemberDead, MemberResumed, InstanceDuplicate, DataCentreUnreachable, DataCentreReachable, MemberRefused, MemberUnknown,
 		RequestAnswered, RequestFailed, RequestRetried, RetryDenied, RequestRefused, RequestMisdirected, LevelChanged, UpstreamChanged, UpstreamLimit, HeartbeatIgnored, DeparturesRecalled, ProcessSettingsChanged, ProcessSettingsIgnored, LogLinesLost, LibraryLine,
 		RequestMalformed, PlatformUnreachable, PlatformReachable, StoreCallFailed, DepartureNotStored,
-		ClaimsNotRefreshed, ClaimsNotReleased, UpstreamCrashed, RequestQuarantined,
+		ClaimsNotRefreshed, ClaimsNotReleased, UpstreamCrashed, RequestQuarantined, SuspicionsRecalled,
 	}
 	slices.SortFunc(all, func(a, b Event) int { return a.Number - b.Number })
 	return all
--- a/node/settingsync/exchange.go
+++ b/node/settingsync/exchange.go
@@ -4,9 +4,7 @@
 	"bytes"
 	"context"
 	"crypto/rand"
-	"io"
 	"net/http"
-	"net/netip"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -14,8 +12,7 @@
 
 	"fuchsiavane.org/core/settings"
 	"fuchsiavane.org/node/edit"
-	"fuchsiavane.org/node/oneshot"
-	"fuchsiavane.org/node/seal"
+	"fuchsiavane.org/node/peercall"
 )
 
 // Path is the HTTP path on the peer port that returns the settings in force.
@@ -33,8 +30,6 @@
 	// maxRequestBytes and maxResponseBytes are the maximum sizes of the messages.
 	maxRequestBytes  = 1 << 10
 	maxResponseBytes = settings.MaxDocumentBytes + 64<<10
-	// maxResponseHeaderBytes is the maximum size of the header of a response.
-	maxResponseHeaderBytes = 16 << 10
 	// nonceBytes is the length of the nonce that binds a response to its request.
 	nonceBytes = 16
 )
@@ -59,48 +54,30 @@
 // settings in force of a Holder and pulls those of other peers. It is safe for
 // concurrent use.
 type Exchange struct {
-	holder *Holder
-	seal   *seal.Sealer
-	client *http.Client
+	holder   *Holder
+	endpoint *peercall.Endpoint
 }
 
 // NewExchange returns an Exchange that seals its messages with the link key.
 func NewExchange(holder *Holder, key []byte) *Exchange {
-	return &Exchange{
-		holder: holder,
-		seal:   seal.New(key),
-		client: oneshot.NewClient(exchangeTimeout, maxResponseHeaderBytes),
-	}
+	e := &Exchange{holder: holder}
+	e.endpoint = peercall.New(peercall.Protocol{
+		Path: Path, RequestPurpose: requestPurpose, ResponsePurpose: responsePurpose,
+		MaxRequestBytes: maxRequestBytes, MaxResponseBytes: maxResponseBytes, Timeout: exchangeTimeout,
+	}, key, e.serve)
+	return e
 }
 
 // ServeHTTP responds to a peer's pull on the peer port.
-func (e *Exchange) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	from, err := netip.ParseAddrPort(r.RemoteAddr)
-	if err != nil || r.Method != http.MethodPost {
-		http.Error(w, "want a post", http.StatusBadRequest)
-		return
-	}
-	sealed, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxRequestBytes))
-	if err != nil {
-		http.Error(w, "too large", http.StatusRequestEntityTooLarge)
-		return
-	}
-	opened, err := e.seal.Open(requestPurpose, sealed, from.Addr())
-	if err != nil {
-		http.Error(w, "refused", http.StatusForbidden)
-		return
-	}
+func (e *Exchange) ServeHTTP(w http.ResponseWriter, r *http.Request) { e.endpoint.ServeHTTP(w, r) }
+
+// serve responds to an encoded pullRequest.
+func (e *Exchange) serve(data []byte) ([]byte, error) {
 	var request pullRequest
-	if err := cbor.Unmarshal(opened, &request); err != nil || len(request.Nonce) != nonceBytes {
-		http.Error(w, "malformed", http.StatusBadRequest)
-		return
+	if err := cbor.Unmarshal(data, &request); err != nil || len(request.Nonce) != nonceBytes {
+		return nil, errors.New("settings: malformed request")
 	}
-	data, err := cbor.Marshal(e.respond(&request))
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusInternalServerError)
-		return
-	}
-	_, _ = w.Write(e.seal.Seal(responsePurpose, data))
+	return cbor.Marshal(e.respond(&request))
 }
 
 func (e *Exchange) respond(request *pullRequest) *pullResponse {
@@ -126,38 +103,13 @@
 	if err != nil {
 		return edit.Head{}, errors.Wrap(err, "settings: encode request")
 	}
-	received, err := e.post(ctx, addr, e.seal.Seal(requestPurpose, data))
+	received, err := e.endpoint.Call(ctx, addr, data)
 	if err != nil {
-		return edit.Head{}, err
+		return edit.Head{}, errors.Wrap(err, "settings")
 	}
 	return e.readResponse(received, &request, current)
 }
 
-// post sends a sealed request and returns the opened response.
-func (e *Exchange) post(ctx context.Context, addr string, sealed []byte) ([]byte, error) {
-	peer, err := netip.ParseAddrPort(addr)
-	if err != nil {
-		return nil, errors.Wrap(err, "settings: peer address")
-	}
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+Path, bytes.NewReader(sealed))
-	if err != nil {
-		return nil, errors.Wrap(err, "settings: request")
-	}
-	response, err := e.client.Do(request)
-	if err != nil {
-		return nil, errors.Wrap(err, "settings: request")
-	}
-	defer response.Body.Close()
-	if response.StatusCode != http.StatusOK {
-		return nil, errors.Errorf("settings: the peer at %s responded with status %d", addr, response.StatusCode)
-	}
-	received, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
-	if err != nil {
-		return nil, errors.Wrap(err, "settings: read response")
-	}
-	return e.seal.Open(responsePurpose, received, peer.Addr())
-}
-
 func (e *Exchange) readResponse(data []byte, request *pullRequest, current edit.Head) (edit.Head, error) {
 	var response pullResponse
 	if err := cbor.Unmarshal(data, &response); err != nil {
