Credit and cancellations that come during a resumption count

Callers' long answers could stand still after a link between daemons broke, and were cut at the deadline (a known red test, seen once); a request that was given up just then went on.

Cause: a run is resumed by a goroutine while the reader of the new link goes on. Credit that came before the run had moved found no stream; credit that came before the lost credit was made up for was set off against it. Cancellations were dropped too.

Ruled out: frames lost on the wire; the test hands them to the reader.

Change: the reader notes the stream as being resumed; such frames are held until then.

--- a/node/link/server.go
+++ b/node/link/server.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -27,6 +28,10 @@
 	class      Class
 	readerDone chan struct{} // closed when the reader has ended
 
+	// resuming holds the streams whose runs are being resumed on this link.
+	resumingMu sync.Mutex
+	resuming   map[uint64]*resumption
+
 	streams     map[uint64]*serverStream
 	openStreams int // number of unfinished streams
 	// acked is the highest stream id whose answer, and all before it, the peer has
@@ -62,10 +67,59 @@
 func newServingLink(c *conn, session []byte, class Class, server call.Server, registry *runRegistry) *servingLink {
 	return &servingLink{
 		conn: c, server: server, registry: registry, session: string(session), class: class,
-		readerDone: make(chan struct{}), streams: map[uint64]*serverStream{},
+		readerDone: make(chan struct{}), resuming: map[uint64]*resumption{}, streams: map[uint64]*serverStream{},
 	}
 }
 
+// resumption holds what the peer has sent for a stream while its run is being resumed.
+type resumption struct {
+	credit    int
+	cancelled bool
+}
+
+// hold keeps a frame for a stream that is being resumed, and reports whether it is one.
+// The run may not have moved to this link yet, and credit is only counted after the
+// credit that the break has lost is made up for.
+func (s *servingLink) hold(f wire.Frame) bool {
+	s.resumingMu.Lock()
+	defer s.resumingMu.Unlock()
+	pending := s.resuming[f.Stream]
+	if pending == nil {
+		return false
+	}
+	switch f.Type {
+	case wire.TypeCredit:
+		pending.credit += int(f.Credit)
+	case wire.TypeCancel:
+		pending.cancelled = true
+	}
+	return true
+}
+
+// finishResumption applies the frames that were held for a stream; stream is nil if it was
+// not resumed here.
+func (s *servingLink) finishResumption(id uint64, stream *serverStream) {
+	s.resumingMu.Lock()
+	defer s.resumingMu.Unlock()
+	pending := s.resuming[id]
+	delete(s.resuming, id)
+	if stream == nil || pending == nil {
+		return
+	}
+	if pending.credit > 0 {
+		stream.sender.grant(pending.credit)
+	}
+	if pending.cancelled {
+		s.cancelStream(stream)
+	}
+}
+
+// cancelStream cancels a request that the peer has given up.
+func (s *servingLink) cancelStream(stream *serverStream) {
+	stream.cancel()
+	s.registry.cancel(stream)
+}
+
 // run serves until the link ends and returns the reason. Running requests
 // continue.
 func (s *servingLink) run() error {
@@ -149,6 +203,9 @@
 }
 
 func (s *servingLink) handleStream(f wire.Frame) error {
+	if s.hold(f) {
+		return nil
+	}
 	stream := s.registry.find(s, f.Stream)
 	if stream == nil {
 		return nil // the stream was removed
@@ -157,8 +214,7 @@
 	case wire.TypeCredit:
 		stream.sender.grant(int(f.Credit))
 	case wire.TypeCancel:
-		stream.cancel()
-		s.registry.cancel(stream)
+		s.cancelStream(stream)
 	case wire.TypeData:
 		return s.receive(f, stream)
 	}
@@ -211,20 +267,26 @@
 	if string(f.Resume.Session) == s.session {
 		return errors.Wrap(ErrMalformed, "a request is asked for on the link that it was sent on")
 	}
+	s.resumingMu.Lock()
+	s.resuming[f.Stream] = &resumption{}
+	s.resumingMu.Unlock()
 	go func() {
+		var resumed *serverStream
+		defer func() { s.finishResumption(f.Stream, resumed) }()
 		stream, verdict := s.registry.lookup(f.Resume)
 		if verdict != verdictFound {
 			s.conn.sendAsync(&wire.Frame{Type: wire.TypeNotFound, Stream: f.Stream, NeverArrived: verdict == verdictNeverArrived})
 			return
 		}
 		if f.Resume.Cancel {
-			stream.cancel()
-			s.registry.cancel(stream)
+			s.cancelStream(stream)
 			return
 		}
 		if from := s.registry.move(stream, s, f.Stream, f.Resume.Attempt); from != nil {
 			from.closeAndWait(ErrReplaced)
-			stream.sender.resume(s.conn, f.Stream, f.Resume)
+			if stream.sender.resume(s.conn, f.Stream, f.Resume) {
+				resumed = stream
+			}
 		}
 	}()
 	return nil
