Tests: calls of repeated runs are counted once the desks know the registry

Callers see no difference. TestCallsOfRepeatedRunsArePaid, known red, failed once: while the desks didn't know the registry yet, inner calls counted as first sends of the daemon and did not run, and the test counts runs. It waits now until each desk lists the registry as serving, before any request is sent; every check is as it was.

--- a/lab/mesh/mesh_test.go
+++ b/lab/mesh/mesh_test.go
@@ -4,12 +4,14 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -18,6 +20,7 @@
 	"github.com/matryer/is"
 
 	"fuchsiavane.org/lab/meshsim"
+	"fuchsiavane.org/node/admin"
 	"fuchsiavane.org/node/event"
 	"fuchsiavane.org/node/freeport"
 	"fuchsiavane.org/platform"
@@ -180,6 +183,29 @@
 	return last
 }
 
+// awaitServing waits until the daemon knows that another instance takes requests.
+func (i *instance) awaitServing(other *instance) {
+	i.t.Helper()
+	serves := func(s admin.Status) bool {
+		return s.SettingsRevision > 0 && slices.ContainsFunc(s.Peers, func(p admin.Peer) bool {
+			return p.ID == other.settings.Instance && p.State == admin.StateServing
+		})
+	}
+	for end := time.Now().Add(waitTimeout); time.Now().Before(end); time.Sleep(pollInterval) {
+		answer, err := http.Get("http://" + i.settings.AdminListen.String() + "/status")
+		if err != nil {
+			continue
+		}
+		var s admin.Status
+		err = json.NewDecoder(answer.Body).Decode(&s)
+		_ = answer.Body.Close()
+		if err == nil && serves(s) {
+			return
+		}
+	}
+	i.t.Fatalf("%s does not know %s", i.settings.Instance, other.settings.Instance)
+}
+
 func status(want int) func(response) bool {
 	return func(a response) bool { return a.err == nil && a.status == want }
 }
--- a/lab/mesh/retries_test.go
+++ b/lab/mesh/retries_test.go
@@ -109,14 +109,19 @@
 	f.configure(1, route("/outer/", "safe", "desk", 0), route("/inner/", "safe", "registry", 0))
 	entry, shed := f.start("registry", "south-1"), newShedder()
 	var inner sync.Map // status of the inner call by the id of the outer one
+	var desks []*instance
 	for range 2 {
 		desk := f.start("desk", "south-1")
+		desks = append(desks, desk)
 		shed.install(desk, func(w http.ResponseWriter, r *http.Request) {
 			id := r.Header.Get("X-Request-Id")
 			inner.Store(id, desk.call(http.MethodGet, "/inner/1", "", "X-Request-Id", id+".1").status)
 			desk.upstream.WriteResponse(w, r)
 		})
 	}
+	for _, desk := range desks {
+		desk.awaitServing(entry) // otherwise inner calls count as first sends and don't run
+	}
 	entry.await("the outer route", "/outer/1", status(http.StatusOK))
 	warmUp(entry, "/outer/1")
 	const first = "0000000000000aaa"
