--- a/node/gateway/levels.go
+++ b/node/gateway/levels.go
@@ -19,9 +19,9 @@
 func newLevels() *levels { return &levels{view: level.NewView()} }
 
 // callIfAdmitted makes the call of a prepared request, unless it comes too late in a
-// drain, its caller resends too often or the admission level of its subtree refuses it. A request with a parent run
-// is not refused by the level: the parent has been admitted at its own entry daemon, and the
-// work done for it would be lost.
+// drain, its caller resends too often or the admission level of its subtree refuses it.
+// A request with a parent run is not refused by the level: the parent has been admitted
+// at its own entry daemon, and the work done for it would be lost.
 func (g *Gateway) callIfAdmitted(p *prepared) *call.Answer {
 	if refusal := g.refuseLate(p); refusal != nil {
 		return refusal
