Tests: the largest body on a link has time on a busy machine

Callers see no difference.

Ruled out: an answer that stands still.

Change: the deadline of that test's requests is 120 s. What it checks, that every body arrives whole, is as it was; how long a body may take is no promise of the link.

--- a/node/link/link_test.go
+++ b/node/link/link_test.go
@@ -154,7 +154,9 @@
 		t.Run(fmt.Sprint(size), func(t *testing.T) {
 			is := is.New(t)
 			body := bytes.Repeat([]byte("0123456789abcde\n"), size/16+1)[:size]
-			answer, err := pool.Do(context.Background(), p.addr(), ClassUrgent, newRequest(body))
+			request := newRequest(body)
+			request.Deadline = time.Now().Add(6 * waitTimeout) // the largest body takes long on a busy machine
+			answer, err := pool.Do(context.Background(), p.addr(), ClassUrgent, request)
 			is.NoErr(err)
 			is.Equal(answer.Refusal, call.RefusedNone)
 			is.True(content(t, answer) == string(body))
