A new upstream is used from its first heartbeat also without the store

Cause: without the departures in the store, an upstream counted from its second heartbeat on.

Ruled out: requests refused as misdirected; the instances were absent, not wrong.

Change: a heartbeat with one of the first two sequences, which only an upstream that has just started sends, needs no confirmation; the same figure tells a restart elsewhere.

--- a/node/presence/presence.go
+++ b/node/presence/presence.go
@@ -8,8 +8,8 @@
 // An acknowledged departure outlives the daemon's process: package departure keeps it in
 // the platform's store. Until the departures of earlier processes are recalled, a single
 // heartbeat doesn't make the upstream ready, since it may have been sent before the
-// departure. A second one, sent later, does, so that an outage of the store takes no
-// upstream away.
+// departure. One of the first after a start, or a second one, does, so that an outage of
+// the store takes no upstream away.
 //
 // The package is a state machine that gets the time as an argument; it is safe for
 // concurrent use.
@@ -87,8 +87,8 @@
 	// instance counts as late if the start of the leaving incarnation is not known.
 	// Heartbeats may be seconds late.
 	lateHeartbeatTime = 30 * time.Second
-	// maxRestartSequence is the highest sequence of a heartbeat that counts as a
-	// restart during lateHeartbeatTime, since sequences restart with the upstream.
+	// maxRestartSequence is the highest sequence of a heartbeat that counts as one of an
+	// upstream that has just started, since sequences restart with the upstream.
 	maxRestartSequence = 2
 )
 
@@ -124,8 +124,8 @@
 	departureVersion uint64
 	// recallPending is set until the departures of earlier processes are known.
 	recallPending bool
-	// confirmed is set once a second heartbeat has shown that the upstream goes on, and
-	// firstHeartbeatAt is when the first heartbeat of its incarnation was received.
+	// confirmed is set once a heartbeat has shown that the upstream has just started or
+	// goes on, and firstHeartbeatAt is when the first heartbeat of its incarnation was received.
 	confirmed        bool
 	firstHeartbeatAt time.Time
 	changed          chan struct{}
@@ -164,7 +164,7 @@
 	if !sameIncarnation {
 		p.confirmed, p.firstHeartbeatAt = false, now
 	}
-	confirms := sameIncarnation && !p.confirmed && now.Sub(p.firstHeartbeatAt) >= p.interval/2
+	confirms := !p.confirmed && (b.Sequence <= maxRestartSequence || sameIncarnation && now.Sub(p.firstHeartbeatAt) >= p.interval/2)
 	p.confirmed = p.confirmed || confirms
 	changed := !sameIncarnation || b.Phase != p.state.Phase || b.Slots != p.state.Slots || confirms && p.recallPending
 	p.state = State{Heartbeat: b, ReceivedAt: now, WarmUpEnd: now.Add(b.WarmUpRemaining)}
