Rename what could mean two things: moments of a drain, the keeper, the next link

Cause: read as a newcomer would. Options.Departures was a keeper, while Presence.Departures is a list; the moments of a drain were named by states ("late", "closed"); a link in a test was named like the time. The comment on held frames says now what becomes of the others.

Measured: the tests of core/drain, node/link, node/departure, node/presence, platform and lab/pages pass.

--- a/core/drain/drain.go
+++ b/core/drain/drain.go
@@ -32,7 +32,9 @@
 	// End is when the daemon ends requests that are still in progress.
 	End time.Time
 
-	late, closed, nestedEnd time.Time
+	// lateFrom, runsUntil and nestedUntil are the moments at which the rules of Takes,
+	// TakesRun and TakesNested change.
+	lateFrom, runsUntil, nestedUntil time.Time
 }
 
 // NewPlan returns the plan of a drain that begins at start and may take timeout. notice
@@ -43,11 +45,11 @@
 	notice = min(notice, fractionOf(timeout, maxNoticeFraction))
 	end := start.Add(timeout)
 	return Plan{
-		Notice:    notice,
-		End:       end,
-		late:      start.Add(fractionOf(timeout, lateFraction)),
-		closed:    start.Add(notice),
-		nestedEnd: end.Add(-fractionOf(timeout, nestedReserveFraction)),
+		Notice:      notice,
+		End:         end,
+		lateFrom:    start.Add(fractionOf(timeout, lateFraction)),
+		runsUntil:   start.Add(notice),
+		nestedUntil: end.Add(-fractionOf(timeout, nestedReserveFraction)),
 	}
 }
 
@@ -58,19 +60,19 @@
 // Takes reports whether the daemon takes a request with the given deadline that arrives
 // from a caller at the time now.
 func (p *Plan) Takes(now, deadline time.Time) bool {
-	return p.End.IsZero() || now.Before(p.late) || p.canEnd(now, deadline)
+	return p.End.IsZero() || now.Before(p.lateFrom) || p.canEnd(now, deadline)
 }
 
 // TakesNested reports whether the daemon takes a call that a run at its own upstream
 // makes, or sends a request that it has taken to another peer.
 func (p *Plan) TakesNested(now, deadline time.Time) bool {
-	return p.End.IsZero() || now.Before(p.nestedEnd) || p.canEnd(now, deadline)
+	return p.End.IsZero() || now.Before(p.nestedUntil) || p.canEnd(now, deadline)
 }
 
 // TakesRun reports whether the daemon's upstream takes a request. Peers send it to other
 // instances once they are notified.
 func (p *Plan) TakesRun(now, deadline time.Time) bool {
-	return p.End.IsZero() || now.Before(p.closed) && p.Takes(now, deadline)
+	return p.End.IsZero() || now.Before(p.runsUntil) && p.Takes(now, deadline)
 }
 
 // canEnd reports whether a request ends before the drain does.
--- a/node/daemon/daemon.go
+++ b/node/daemon/daemon.go
@@ -78,9 +78,9 @@
 type Options struct {
 	// Presence tracks the upstream's heartbeats; nil if the upstream sends none.
 	Presence *presence.Presence
-	// Departures keeps the departures of Presence in the store; nil if they end with the
-	// process.
-	Departures *departure.Keeper
+	// DepartureKeeper keeps the departures of Presence in the store; nil if they end with
+	// the process.
+	DepartureKeeper *departure.Keeper
 	// CallerDialect is the header convention of the caller port. If it is set, the
 	// port routes calls by host and path, including calls from the upstream; nil
 	// selects fuchsiavane's own headers.
@@ -195,8 +195,8 @@
 	}
 	stopGate := runUntilStopped(d.gate.Run)
 	stopDepartures := func() {}
-	if d.options.Departures != nil {
-		stopDepartures = runUntilStopped(d.options.Departures.Run)
+	if d.options.DepartureKeeper != nil {
+		stopDepartures = runUntilStopped(d.options.DepartureKeeper.Run)
 	}
 	failed := d.ports.serve()
 	d.log.Log(event.DaemonStarted).Str("service", d.config.Service).Str("peer_listen", d.config.PeerListen).Msg("daemon started")
--- a/node/departure/departure.go
+++ b/node/departure/departure.go
@@ -47,8 +47,8 @@
 
 	// Fields of Run.
 	backoff  *backoff.Backoff
-	recalled bool
-	read     bool   // revision is known
+	recalled bool   // the departures in the store were passed to the Presence
+	read     bool   // revision is that of the key in the store
 	revision uint64 // of the key; 0 if it doesn't exist
 	waiting  []chan struct{}
 }
--- a/node/link/resumption_test.go
+++ b/node/link/resumption_test.go
@@ -43,9 +43,9 @@
 // brokenRun is a run whose answer has used up its credit on a link that has broken, and
 // the link on which the peer resumes it as the stream resumedID.
 type brokenRun struct {
-	registry *runRegistry
-	stream   *serverStream
-	old, now *servingLink
+	registry  *runRegistry
+	stream    *serverStream
+	old, next *servingLink
 }
 
 const resumedID = 7
@@ -55,9 +55,9 @@
 	registry := newRunRegistry(testTiming)
 	r := &brokenRun{registry: registry}
 	r.old = newServingLink(sinkConn(t), []byte("old"), ClassUrgent, nil, registry)
-	r.now = newServingLink(sinkConn(t), []byte("now"), ClassUrgent, nil, registry)
+	r.next = newServingLink(sinkConn(t), []byte("next"), ClassUrgent, nil, registry)
 	registry.addSession(r.old)
-	registry.addSession(r.now)
+	registry.addSession(r.next)
 	ctx, cancel := context.WithCancel(t.Context())
 	r.stream = &serverStream{
 		ctx: ctx, cancel: cancel, request: &call.Request{Run: "run"}, sender: newAnswerSender(r.old.conn, 1),
@@ -80,7 +80,7 @@
 func (r *brokenRun) receive(t *testing.T, f wire.Frame) {
 	t.Helper()
 	f.Stream = resumedID
-	if err := r.now.handle(f); err != nil {
+	if err := r.next.handle(f); err != nil {
 		t.Fatal(err)
 	}
 }
@@ -108,15 +108,15 @@
 			r.stream.sender.mu.Lock()
 			defer r.stream.sender.mu.Unlock()
 			close(r.old.readerDone)
-			eventually(t, "the run has moved", func() bool { return r.registry.find(r.now, resumedID) != nil })
+			eventually(t, "the run has moved", func() bool { return r.registry.find(r.next, resumedID) != nil })
 			grant()
 		}},
 		{"after the resumption", func(t *testing.T, r *brokenRun, grant func()) {
 			close(r.old.readerDone)
 			eventually(t, "the run is resumed", func() bool {
-				r.now.resumingMu.Lock()
-				defer r.now.resumingMu.Unlock()
-				return len(r.now.resuming) == 0
+				r.next.resumingMu.Lock()
+				defer r.next.resumingMu.Unlock()
+				return len(r.next.resuming) == 0
 			})
 			grant()
 		}},
--- a/node/link/server.go
+++ b/node/link/server.go
@@ -77,9 +77,10 @@
 	cancelled bool
 }
 
-// hold keeps a frame for a stream that is being resumed, and reports whether it is one.
-// The run may not have moved to this link yet, and credit is only counted after the
-// credit that the break has lost is made up for.
+// hold keeps credit or a cancellation for a stream that is being resumed, and reports
+// whether the stream is. The run may not have moved to this link yet, and the credit that
+// the break has lost must be made up for before any other is counted. Other frames for
+// such a stream have no effect: its request has arrived whole.
 func (s *servingLink) hold(f wire.Frame) bool {
 	s.resumingMu.Lock()
 	defer s.resumingMu.Unlock()
