--- a/lab/mesh/stop_test.go
+++ b/lab/mesh/stop_test.go
@@ -1,14 +1,20 @@
 package mesh
 
 import (
+	"context"
 	"fmt"
+	"net"
 	"net/http"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+
+	"fuchsiavane.org/node/event"
+	"fuchsiavane.org/platform"
 )
 
 // TestPlannedStopCutsNothing drains the daemon of a healthy upstream under load. Every
@@ -210,3 +216,23 @@
 	is.Equal(a.status, 200)
 	<-registry.done
 }
+
+// TestStopRightAfterTheStartFreesThePorts guards against a daemon that has ended while a
+// port of it still listens, so that the next one can't start.
+func TestStopRightAfterTheStartFreesThePorts(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	desk := f.start("desk", "south-1")
+	desk.stop()
+	<-desk.done
+	stopped, stop := context.WithCancel(context.Background())
+	stop()
+	for range 200 {
+		is.NoErr(platform.RunWith(stopped, desk.settings, event.Discard()))
+		for _, addr := range []netip.AddrPort{desk.settings.AnnounceListen, desk.settings.ReadyListen} {
+			l, err := net.Listen("tcp", addr.String())
+			is.NoErr(err)
+			is.NoErr(l.Close())
+		}
+	}
+}
