--- a/review/tools-2/review-rig-2/main.go
+++ b/review/tools-2/review-rig-2/main.go
@@ -43,9 +43,10 @@
 )
 
 const (
-	service = "desk"
-	host    = "h.example"
-	program = "target/fuchsiavaned"
+	service      = "desk"
+	frontService = "front"
+	host         = "h.example"
+	program      = "target/fuchsiavaned"
 	// limit ends a case that hangs.
 	limit = 110 * time.Second
 )
@@ -55,6 +56,7 @@
 	"slow-download":     slowDownload,
 	"foreign-heartbeat": foreignHeartbeat,
 	"lost-departure":    lostDeparture,
+	"polled-path":       polledPath,
 }
 
 func main() {
@@ -107,7 +109,7 @@
 	}
 }
 
-// rig is one machine of the platform: the store, a server and the daemon beside it.
+// rig is the platform: its store and its machines, of which the first is embedded.
 type rig struct {
 	folder  string
 	start   time.Time
@@ -117,14 +119,26 @@
 	mu  sync.Mutex
 	out *os.File
 
-	store    *meshsim.Store
+	store     *meshsim.Store
+	storeAddr string
+	machines  []*machine
+	*machine
+}
+
+// machine is a server and the daemon beside it.
+type machine struct {
+	rig      *rig
+	name     string
+	service  string
 	settings string
 	caller   string
 	ready    string
 	control  string
 	server   *server
-	daemon   *exec.Cmd
-	exited   chan struct{}
+
+	mu     sync.Mutex
+	daemon *exec.Cmd
+	exited chan struct{}
 }
 
 // note writes a line to the record.
@@ -140,38 +154,55 @@
 	}
 }
 
-// setUp starts the store, the server and the daemon, and waits until a request is served.
+// setUp starts the store and the first machine, and waits until a request is served.
 func (r *rig) setUp() {
 	r.note("trouble: %v", r.trouble)
-	addrs, err := freeport.Addrs(5)
-	check(err)
 	r.store = meshsim.NewStore()
 	store, err := net.Listen("tcp", "127.0.0.1:0")
 	check(err)
+	r.storeAddr = store.Addr().String()
 	go func() { _ = http.Serve(store, r.store) }()
-	r.server = newServer(r, "i-1")
-	r.caller, r.ready, r.control = addrs[0], addrs[2], addrs[3]
+	check(r.store.Configure([]byte(`{"version":"00000001","routes":[` +
+		`{"name":"r0","host":"` + host + `","prefix":"/board/","kind":"safe","timeout":"6000ms","target_latency":"1500ms","priority":1,"service":"` + service + `","max_attempts":2},` +
+		`{"name":"r1","host":"` + host + `","prefix":"/read/","kind":"safe","timeout":"6000ms","target_latency":"1500ms","priority":1,"service":"` + service + `","max_attempts":2},` +
+		`{"name":"r2","host":"` + host + `","prefix":"/write/","kind":"unsafe","timeout":"6000ms","target_latency":"4000ms","priority":2,"service":"` + service + `","max_attempts":2}],` +
+		`"services":[{"name":"` + service + `","health_path":"/healthz","max_connections":424,"protocol":"h1","tls":false},` +
+		`{"name":"` + frontService + `","health_path":"/healthz","max_connections":424,"protocol":"h1","tls":false}],` +
+		`"limits":{"max_header_bytes":16384,"max_body_bytes":67108864,"header_timeout":"3000ms","idle_timeout":"15000ms"}}`)))
+	r.machine = r.addMachine(service)
+	r.awaitServing()
+}
+
+// addMachine starts a server of a service and the daemon beside it.
+func (r *rig) addMachine(service string) *machine {
+	addrs, err := freeport.Addrs(5)
+	check(err)
+	m := &machine{rig: r, name: fmt.Sprintf("sidecar-%d", len(r.machines)+1), service: service, caller: addrs[0], ready: addrs[2], control: addrs[3]}
+	r.mu.Lock()
+	r.machines = append(r.machines, m)
+	r.mu.Unlock()
+	m.server = newServer(m)
 	_, adminPort, _ := net.SplitHostPort(addrs[4])
-	r.settings = filepath.Join(r.folder, "settings.conf")
-	check(os.WriteFile(r.settings, []byte(strings.Join([]string{
-		"node_name=sidecar-1", "role=sidecar", "machine_class=sidecar", "serves=sidecar", "ip=127.0.0.1",
+	m.settings = filepath.Join(r.folder, m.name+".conf")
+	check(os.WriteFile(m.settings, []byte(strings.Join([]string{
+		"node_name=" + m.name, "role=sidecar", "machine_class=sidecar", "serves=sidecar", "ip=127.0.0.1",
 		"zone=south-1", "region=south", "zones.south-1=south",
 		"listen_addrs.outbound=" + addrs[0], "listen_addrs.inbound=" + addrs[1], "listen_addrs.ready=" + addrs[2], "listen_addrs.control=" + addrs[3],
 		"port_range=" + adminPort + "," + adminPort, "seeds=", "bootstrap=true", "limits.memory_mb=284", "limits.max_fds=4100",
 		"heartbeat=1500ms", "bounds.drain=2500ms", "bounds.grace_period=6s", "bounds.contact=3000ms", "bounds.config_apply=2500ms",
 		"bounds.retry_budget_ratio=0.2", "bounds.budget_window=10s", "bounds.budget_slack=47",
-		"app_addr=" + r.server.addr, "service=" + service,
-		"platform.address=" + store.Addr().String(), "platform.form=kv", "platform.value_bytes=1048576", "platform.ttl_min=1000ms",
+		"app_addr=" + m.server.addr, "service=" + service,
+		"platform.address=" + r.storeAddr, "platform.form=kv", "platform.value_bytes=1048576", "platform.ttl_min=1000ms",
 	}, "\n")+"\n"), 0o600))
-	check(r.store.Configure([]byte(`{"version":"00000001","routes":[` +
-		`{"name":"r1","host":"` + host + `","prefix":"/read/","kind":"safe","timeout":"6000ms","target_latency":"1500ms","priority":1,"service":"` + service + `","max_attempts":2},` +
-		`{"name":"r2","host":"` + host + `","prefix":"/write/","kind":"unsafe","timeout":"6000ms","target_latency":"4000ms","priority":2,"service":"` + service + `","max_attempts":2}],` +
-		`"services":[{"name":"` + service + `","health_path":"/healthz","max_connections":424,"protocol":"h1","tls":false}],` +
-		`"limits":{"max_header_bytes":16384,"max_body_bytes":67108864,"header_timeout":"3000ms","idle_timeout":"15000ms"}}`)))
-	r.startDaemon()
-	go r.server.heartbeats()
+	m.startDaemon()
+	go m.server.heartbeats()
+	return m
+}
+
+// awaitServing waits until the machine is ready and serves a request.
+func (m *machine) awaitServing() {
 	for end := time.Now().Add(20 * time.Second); ; time.Sleep(50 * time.Millisecond) {
-		if r.isReady() && r.request(http.MethodGet, "/read/first", time.Second) == http.StatusOK {
+		if m.isReady() && m.request(http.MethodGet, "/read/first", time.Second) == http.StatusOK {
 			return
 		}
 		if time.Now().After(end) {
@@ -181,11 +212,11 @@
 }
 
 // startDaemon starts the daemon by the command of the deploy file.
-func (r *rig) startDaemon() {
+func (m *machine) startDaemon() {
 	command := exec.Command(program, "beside")
-	command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + r.folder, "FUCHSIAVANE_CONFIG=" + r.settings}
-	if r.logPath != "" {
-		log, err := os.OpenFile(r.logPath, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + m.rig.folder, "FUCHSIAVANE_CONFIG=" + m.settings}
+	if m.rig.logPath != "" {
+		log, err := os.OpenFile(m.rig.logPath, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 		check(err)
 		command.Stdout, command.Stderr = log, log
 	}
@@ -195,41 +226,45 @@
 		_ = command.Wait()
 		close(exited)
 	}()
-	r.mu.Lock()
-	r.daemon, r.exited = command, exited
-	r.mu.Unlock()
-	r.note("daemon started")
+	m.mu.Lock()
+	m.daemon, m.exited = command, exited
+	m.mu.Unlock()
+	m.rig.note("daemon of %s started", m.name)
 }
 
 // signal sends a signal to the daemon.
-func (r *rig) signal(s syscall.Signal) {
-	r.note("signal %v to the daemon", s)
-	check(r.daemon.Process.Signal(s))
+func (m *machine) signal(s syscall.Signal) {
+	m.rig.note("signal %v to the daemon of %s", s, m.name)
+	check(m.daemon.Process.Signal(s))
 }
 
 // killAndRestart kills the daemon and starts it again after a short delay.
-func (r *rig) killAndRestart() {
-	r.signal(syscall.SIGKILL)
-	<-r.exited
+func (m *machine) killAndRestart() {
+	m.signal(syscall.SIGKILL)
+	<-m.exited
 	time.Sleep(500 * time.Millisecond)
-	r.startDaemon()
+	m.startDaemon()
 }
 
-// stop ends the daemon if it still runs.
+// stop ends the daemons that still run.
 func (r *rig) stop() {
 	r.mu.Lock()
-	daemon, exited := r.daemon, r.exited
+	machines := r.machines
 	r.mu.Unlock()
-	if daemon == nil {
-		return
+	for _, m := range machines {
+		m.mu.Lock()
+		daemon, exited := m.daemon, m.exited
+		m.mu.Unlock()
+		if daemon != nil {
+			_ = daemon.Process.Kill()
+			<-exited
+		}
 	}
-	_ = daemon.Process.Kill()
-	<-exited
 }
 
 // isReady asks the daemon as the platform does.
-func (r *rig) isReady() bool {
-	response, err := http.Get("http://" + r.ready + "/api/readyz")
+func (m *machine) isReady() bool {
+	response, err := http.Get("http://" + m.ready + "/api/readyz")
 	if err != nil {
 		return false
 	}
@@ -241,67 +276,116 @@
 
 // request makes one request on a connection of its own and returns the status, 0 if there
 // was no complete answer.
-func (r *rig) request(method, path string, deadline time.Duration) int {
+func (m *machine) request(method, path string, deadline time.Duration) int {
 	id := fmt.Sprintf("%016x", lastID.Add(1))
 	var body io.Reader
 	if method == http.MethodPost {
 		body = strings.NewReader("one ruling")
 	}
-	request, err := http.NewRequest(method, "http://"+r.caller+path, body)
+	request, err := http.NewRequest(method, "http://"+m.caller+path, body)
 	check(err)
 	request.Host, request.Close = host, true
 	request.Header.Set("X-Request-Id", id)
 	request.Header.Set("X-Request-Deadline-Ms", fmt.Sprint(deadline.Milliseconds()))
 	client := http.Client{Timeout: deadline, Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
-	r.note("client sends %s (%s %s)", id, method, path)
+	m.rig.note("client sends %s (%s %s)", id, method, path)
 	response, err := client.Do(request)
 	if err != nil {
-		r.note("client gets no answer to %s: %v", id, err)
+		m.rig.note("client gets no answer to %s: %v", id, err)
 		return 0
 	}
 	defer response.Body.Close()
 	if _, err := io.Copy(io.Discard, response.Body); err != nil {
-		r.note("client gets a part of an answer to %s: %v", id, err)
+		m.rig.note("client gets a part of an answer to %s: %v", id, err)
 		return 0
 	}
-	r.note("client gets %d to %s", response.StatusCode, id)
+	m.rig.note("client gets %d to %s", response.StatusCode, id)
 	return response.StatusCode
 }
 
-// server is the application server beside the daemon.
+// server is the application server beside a daemon.
 type server struct {
+	machine *machine
 	rig     *rig
-	id      string
 	addr    string
-	started int64
 
-	sequence atomic.Uint64
-	quiet    atomic.Bool // sends no more heartbeats
-	work     time.Duration
-	size     int // of the answer's body in bytes
+	quiet atomic.Bool // sends no more heartbeats
+	work  time.Duration
+	size  int // of the answer's body in bytes
 
 	mu       sync.Mutex
+	id       string
+	started  int64
+	sequence uint64
+	starts   int
+	http     *http.Server
 	begun    map[string]time.Time
 	finished map[string]time.Time
+	running  map[string]int // number of runs by path
 }
 
-func newServer(r *rig, id string) *server {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	check(err)
+func newServer(m *machine) *server {
 	s := &server{
-		rig: r, id: id, addr: listener.Addr().String(), started: time.Now().UnixMilli(), work: 20 * time.Millisecond, size: 400,
-		begun: map[string]time.Time{}, finished: map[string]time.Time{},
+		machine: m, rig: m.rig, addr: "127.0.0.1:0", work: 20 * time.Millisecond, size: 400,
+		begun: map[string]time.Time{}, finished: map[string]time.Time{}, running: map[string]int{},
 	}
-	go func() { _ = http.Serve(listener, s) }()
+	s.listen()
 	return s
 }
 
+// listen starts an incarnation of the server.
+func (s *server) listen() {
+	listener, err := net.Listen("tcp", s.addr)
+	check(err)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.addr = listener.Addr().String()
+	s.starts++
+	s.id = fmt.Sprintf("i-%s-%d", s.machine.name, s.starts)
+	s.started = time.Now().UnixMilli()
+	s.sequence = 0
+	s.http = &http.Server{Handler: s}
+	go func() { _ = s.http.Serve(listener) }()
+	s.rig.note("server %s started", s.id)
+}
+
+// awaitRun waits until the server is in the middle of a run of a path.
+func (s *server) awaitRun(path string) {
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		s.mu.Lock()
+		running := s.running[path]
+		s.mu.Unlock()
+		if running > 0 {
+			time.Sleep(s.work / 2)
+			return
+		}
+	}
+}
+
+// crash ends the server without a word; it is back after a while as a new incarnation.
+func (s *server) crash(down time.Duration) {
+	s.rig.note("server %s crashes", s.instance())
+	s.mu.Lock()
+	s.started = 0
+	server := s.http
+	s.mu.Unlock()
+	_ = server.Close()
+	time.Sleep(down)
+	s.listen()
+}
+
+func (s *server) instance() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.id
+}
+
 // ServeHTTP runs a request.
 func (s *server) ServeHTTP(w http.ResponseWriter, request *http.Request) {
 	id := request.Header.Get("X-Request-Id")
-	if expected := request.Header.Get("X-Expected-Instance"); expected != "" && expected != s.id {
-		s.rig.note("server %s answers 421 to %s, which expects %s", s.id, id, expected)
-		w.Header().Set("X-Instance-Id", s.id)
+	if expected := request.Header.Get("X-Expected-Instance"); expected != "" && expected != s.instance() {
+		s.rig.note("server %s answers 421 to %s, which expects %s", s.instance(), id, expected)
+		w.Header().Set("X-Instance-Id", s.instance())
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
@@ -310,6 +394,7 @@
 	}
 	s.mu.Lock()
 	s.begun[id] = time.Now()
+	s.running[request.RequestURI]++
 	s.mu.Unlock()
 	s.rig.note("server runs %s (%s)", id, request.RequestURI)
 	time.Sleep(s.work)
@@ -319,6 +404,7 @@
 	_, err := w.Write(make([]byte, s.size))
 	s.mu.Lock()
 	s.finished[id] = time.Now()
+	s.running[request.RequestURI]--
 	s.mu.Unlock()
 	s.rig.note("server has written the answer to %s (%d bytes, error: %v)", id, s.size, err)
 }
@@ -338,37 +424,45 @@
 
 type object map[string]any
 
-// announcement returns the body of a heartbeat.
+// announcement returns the body of a heartbeat, or nil if the server is down.
 func (s *server) announcement(phase string) object {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.started == 0 {
+		return nil
+	}
+	s.sequence++
 	return object{
 		"address": s.addr, "born": s.started,
-		"info":   object{"service": service, "version": "v1", "zone": "south-1", "capacity_slots": 54},
-		"status": object{"phase": phase, "sequence": s.sequence.Add(1), "cold_remaining": "0ms"},
+		"info":   object{"service": s.machine.service, "version": "v1", "zone": "south-1", "capacity_slots": 54},
+		"status": object{"phase": phase, "sequence": s.sequence, "cold_remaining": "0ms"},
 	}
 }
 
 // heartbeats sends a heartbeat at each interval until the server is quiet.
 func (s *server) heartbeats() {
 	for !s.quiet.Load() {
-		s.rig.post(s.id, "heartbeat", s.announcement("ready"))
+		if body := s.announcement("ready"); body != nil {
+			s.machine.post(s.instance(), "heartbeat", body)
+		}
 		time.Sleep(heartbeat)
 	}
 }
 
 // post calls the daemon's control address and reports whether the call was acknowledged.
-func (r *rig) post(id, verb string, body object) bool {
+func (m *machine) post(id, verb string, body object) bool {
 	encoded := []byte{}
 	if body != nil {
 		encoded, _ = json.Marshal(body)
 	}
 	client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
-	response, err := client.Post("http://"+r.control+"/api/instances/"+id+"/"+verb, "application/json", bytes.NewReader(encoded))
+	response, err := client.Post("http://"+m.control+"/api/instances/"+id+"/"+verb, "application/json", bytes.NewReader(encoded))
 	if err != nil {
-		r.note("%s of %s %s: %v", verb, id, encoded, err)
+		m.rig.note("%s of %s %s: %v", verb, id, encoded, err)
 		return false
 	}
 	_ = response.Body.Close()
-	r.note("%s of %s %s: %d", verb, id, encoded, response.StatusCode)
+	m.rig.note("%s of %s %s: %d", verb, id, encoded, response.StatusCode)
 	return response.StatusCode/100 == 2
 }
 
@@ -398,7 +492,7 @@
 	r.probe(time.Now().Add(2 * time.Second))
 	r.server.quiet.Store(true)
 	time.Sleep(heartbeat)
-	if !r.post(r.server.id, "heartbeat", r.server.announcement("draining")) {
+	if !r.post(r.server.instance(), "heartbeat", r.server.announcement("draining")) {
 		panic("the server's leaving is not acknowledged")
 	}
 	acknowledged := time.Now()
@@ -406,7 +500,7 @@
 	r.probe(acknowledged.Add(time.Second))
 	if r.trouble {
 		r.note("another writer's heartbeat, without version, zone and cold_remaining")
-		r.post(r.server.id, "heartbeat", object{
+		r.post(r.server.instance(), "heartbeat", object{
 			"address": r.server.addr, "born": time.Now().UnixMilli(),
 			"info":   object{"service": service, "capacity_slots": 54},
 			"status": object{"phase": "ready", "sequence": 1},
@@ -427,7 +521,7 @@
 	late := r.server.announcement("ready") // sent now, arrives late
 	r.server.quiet.Store(true)
 	time.Sleep(heartbeat)
-	if !r.post(r.server.id, "deregister", nil) {
+	if !r.post(r.server.instance(), "deregister", nil) {
 		panic("the server's leaving is not acknowledged")
 	}
 	acknowledged := time.Now()
@@ -436,7 +530,7 @@
 		r.killAndRestart()
 	}
 	time.Sleep(500 * time.Millisecond)
-	r.post(r.server.id, "heartbeat", late)
+	r.post(r.server.instance(), "heartbeat", late)
 	time.Sleep(time.Until(acknowledged.Add(3 * time.Second)))
 	if r.trouble {
 		r.note("the store answers again")
@@ -518,3 +612,80 @@
 		time.Sleep(time.Until(begin.Add(time.Duration(float64(total) * float64(got) / float64(size)))))
 	}
 }
+
+// poll sends safe requests at a rate until a moment and returns how many were sent and
+// answered with 200.
+func (m *machine) poll(path func(n int) string, perSecond int, until time.Time) (sent, served int) {
+	var group sync.WaitGroup
+	var answered atomic.Int64
+	for ; time.Now().Before(until); sent++ {
+		n := sent
+		group.Go(func() {
+			if m.request(http.MethodGet, path(n), 3*time.Second) == http.StatusOK {
+				answered.Add(1)
+			}
+		})
+		time.Sleep(time.Second / time.Duration(perSecond))
+	}
+	group.Wait()
+	return sent, int(answered.Load())
+}
+
+// polledPath checks Starved: clients poll one path while a server of four crashes.
+func polledPath(r *rig) int {
+	servers := []*server{r.server}
+	for range 3 {
+		servers = append(servers, r.addMachine(service).server)
+	}
+	front := r.addMachine(frontService)
+	for _, m := range r.machines {
+		m.awaitServing()
+	}
+	for _, s := range servers {
+		s.work = 220 * time.Millisecond
+	}
+	r.playPolling(front, "before", 4*time.Second)
+	down := make(chan struct{})
+	if r.trouble {
+		time.AfterFunc(time.Second, func() {
+			r.server.awaitRun("/board/now")
+			r.server.crash(crashTime)
+			close(down)
+		})
+	} else {
+		close(down)
+	}
+	r.playPolling(front, "around the crash", crashTime+2*time.Second)
+	<-down
+	r.playPolling(front, "after the crash", 10*time.Second)
+	polled, other, all := r.playPolling(front, "at the end", 20*time.Second)
+	r.note("at the end: %.3f of the polled, %.3f of the others, %.3f of all", polled, other, all)
+	if min(polled, other) < all/4 {
+		return broken
+	}
+	return held
+}
+
+const (
+	// crashTime is how long a crashed server is down. pollRate and otherRate are the
+	// requests of the two kinds in a second.
+	crashTime = 5 * time.Second
+	pollRate  = 40
+	otherRate = 20
+)
+
+// playPolling sends requests of two kinds from the clients of a machine, one kind on a
+// single path, and returns which part of each and of all requests is served.
+func (r *rig) playPolling(front *machine, name string, length time.Duration) (polled, other, all float64) {
+	end := time.Now().Add(length)
+	var group sync.WaitGroup
+	var sent, served [2]int
+	group.Go(func() { sent[0], served[0] = front.poll(func(int) string { return "/board/now" }, pollRate, end) })
+	group.Go(func() {
+		sent[1], served[1] = front.poll(func(n int) string { return fmt.Sprintf("/read/%s/%d", strings.ReplaceAll(name, " ", "-"), n) }, otherRate, end)
+	})
+	group.Wait()
+	r.note("%s: served %d of %d on the polled path, %d of %d others", name, served[0], sent[0], served[1], sent[1])
+	part := func(served, sent int) float64 { return float64(served) / float64(sent) }
+	return part(served[0], sent[0]), part(served[1], sent[1]), part(served[0]+served[1], sent[0]+sent[1])
+}
