--- a/review/tools-2/review-rig-2/main.go
+++ b/review/tools-2/review-rig-2/main.go
@@ -136,9 +136,10 @@
 	control  string
 	server   *server
 
-	mu     sync.Mutex
-	daemon *exec.Cmd
-	exited chan struct{}
+	mu       sync.Mutex
+	daemon   *exec.Cmd
+	exited   chan struct{}
+	statuses map[string]int // status of the answer to each request, 0 if there was none
 }
 
 // note writes a line to the record.
@@ -177,7 +178,7 @@
 func (r *rig) addMachine(service string) *machine {
 	addrs, err := freeport.Addrs(5)
 	check(err)
-	m := &machine{rig: r, name: fmt.Sprintf("sidecar-%d", len(r.machines)+1), service: service, caller: addrs[0], ready: addrs[2], control: addrs[3]}
+	m := &machine{rig: r, name: fmt.Sprintf("sidecar-%d", len(r.machines)+1), service: service, caller: addrs[0], ready: addrs[2], control: addrs[3], statuses: map[string]int{}}
 	r.mu.Lock()
 	r.machines = append(r.machines, m)
 	r.mu.Unlock()
@@ -278,6 +279,15 @@
 // was no complete answer.
 func (m *machine) request(method, path string, deadline time.Duration) int {
 	id := fmt.Sprintf("%016x", lastID.Add(1))
+	status := m.send(id, method, path, deadline)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.statuses[id] = status
+	return status
+}
+
+// send makes the request with the given id.
+func (m *machine) send(id, method, path string, deadline time.Duration) int {
 	var body io.Reader
 	if method == http.MethodPost {
 		body = strings.NewReader("one ruling")
@@ -374,6 +384,12 @@
 	s.listen()
 }
 
+// exit ends the server with the requests at work.
+func (s *server) exit() {
+	s.rig.note("server %s exits", s.instance())
+	_ = s.http.Close()
+}
+
 func (s *server) instance() string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -466,12 +482,22 @@
 	return response.StatusCode/100 == 2
 }
 
-// probe sends a safe request at each interval until a moment.
-func (r *rig) probe(until time.Time) {
+// probe sends safe and unsafe requests in turn until a moment. atEnd is called then, before
+// the last answers are awaited; it may be nil.
+func (r *rig) probe(until time.Time, atEnd func()) {
 	var group sync.WaitGroup
 	for n := 0; time.Now().Before(until); n++ {
-		group.Go(func() { r.request(http.MethodGet, fmt.Sprintf("/read/%d", n), 2*time.Second) })
-		time.Sleep(250 * time.Millisecond)
+		group.Go(func() {
+			if n%2 == 0 {
+				r.request(http.MethodGet, fmt.Sprintf("/read/%d", n), 4*time.Second)
+			} else {
+				r.request(http.MethodPost, fmt.Sprintf("/write/%d", n), 4*time.Second)
+			}
+		})
+		time.Sleep(125 * time.Millisecond)
+	}
+	if atEnd != nil {
+		atEnd()
 	}
 	group.Wait()
 }
@@ -480,6 +506,15 @@
 func (r *rig) lateRuns(from time.Time) int {
 	late := r.server.runsSince(from)
 	r.note("%d requests reached the server later than %.3f, when the rule forbids it: %s", len(late), from.Sub(r.start).Seconds(), strings.Join(late, " "))
+	lost := 0
+	r.machine.mu.Lock()
+	for _, id := range late {
+		if r.statuses[id] != http.StatusOK {
+			lost++
+		}
+	}
+	r.machine.mu.Unlock()
+	r.note("%d of them were lost with the server's exit", lost)
 	if len(late) > 0 {
 		return broken
 	}
@@ -489,7 +524,8 @@
 // foreignHeartbeat checks DRAIN: after the server has said that it is draining, another
 // writer sends a heartbeat with its id that lacks fields.
 func foreignHeartbeat(r *rig) int {
-	r.probe(time.Now().Add(2 * time.Second))
+	r.server.work = 300 * time.Millisecond
+	r.probe(time.Now().Add(2*time.Second), nil)
 	r.server.quiet.Store(true)
 	time.Sleep(heartbeat)
 	if !r.post(r.server.instance(), "heartbeat", r.server.announcement("draining")) {
@@ -497,7 +533,7 @@
 	}
 	acknowledged := time.Now()
 	r.note("acknowledged: the server is draining")
-	r.probe(acknowledged.Add(time.Second))
+	r.probe(acknowledged.Add(time.Second), nil)
 	if r.trouble {
 		r.note("another writer's heartbeat, without version, zone and cold_remaining")
 		r.post(r.server.instance(), "heartbeat", object{
@@ -506,14 +542,15 @@
 			"status": object{"phase": "ready", "sequence": 1},
 		})
 	}
-	r.probe(acknowledged.Add(drain + 3*time.Second))
+	r.probe(acknowledged.Add(drain+3*time.Second), r.server.exit)
 	return r.lateRuns(acknowledged.Add(drain))
 }
 
 // lostDeparture checks DRAIN: the daemon acknowledges the server's leaving while the store
 // is away, is killed, and gets a late heartbeat after its restart.
 func lostDeparture(r *rig) int {
-	r.probe(time.Now().Add(5 * time.Second))
+	r.server.work = 300 * time.Millisecond
+	r.probe(time.Now().Add(5*time.Second), nil)
 	if r.trouble {
 		r.note("the store goes silent")
 		r.store.SetFault(meshsim.Silent)
@@ -537,7 +574,7 @@
 		r.store.SetFault(meshsim.Healthy)
 	}
 	inTouch := time.Now().Add(contact)
-	r.probe(inTouch.Add(4 * time.Second))
+	r.probe(inTouch.Add(4*time.Second), r.server.exit)
 	return r.lateRuns(inTouch)
 }
 
