An answer with an invalid status is no answer

Callers saw: reported from another system, a client that got an answer with status 000.

Cause: net/http takes any three digits for a status. The connection to the upstream took all below 200 but 101 for interim answers and skipped them, so that what followed on the connection was the answer; 101 and all above 599 were final answers. The client of the store in our own protocol took all below 300 for success.

Ruled out: a plain 000 with a body (the body is parsed as the next head and fails the request).

Change: node/httphead checks the protocol version and the status of each head (RFC 9110, section 15): at the upstream, in the clients of package oneshot (store, peers), and of answers that peers pass on, where only the call in question fails. The outcome is unknown, as bytes of the request were sent.

--- a/lab/mesh/answers_test.go
+++ b/lab/mesh/answers_test.go
@@ -108,6 +108,38 @@
 	is.Equal(complete, 0)
 }
 
+// TestInvalidHeadsReachNobody has an upstream respond with a head that HTTP doesn't allow.
+// The caller gets a failure that promises nothing, and nothing of that head or its body.
+func TestInvalidHeadsReachNobody(t *testing.T) {
+	const own = "X-Request-Id: %ID%\r\nX-Response-Signature: s\r\n"
+	for name, answer := range map[string]string{
+		"status 000":                "HTTP/1.1 000 Trouble\r\n" + own + "Content-Length: 2\r\n\r\nok",
+		"status 000 before another": "HTTP/1.1 000 Trouble\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\n" + own + "Content-Length: 2\r\n\r\nok",
+		"status 101":                "HTTP/1.1 101 Switching Protocols\r\n" + own + "\r\nok",
+		"status 999":                "HTTP/1.1 999 Trouble\r\n" + own + "Content-Length: 2\r\n\r\nok",
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(t)
+			f.configure(1, route("/x/", "unsafe", "desk", 0))
+			entry, desk := f.start("registry", "south-1"), f.start("desk", "south-1")
+			entry.await("ready", "/x/1", status(http.StatusOK))
+			desk.upstream.Intercept = func(w http.ResponseWriter, r *http.Request) bool {
+				conn := hijack(t, w)
+				_, _ = io.WriteString(conn, strings.ReplaceAll(answer, "%ID%", r.Header.Get("X-Request-Id")))
+				_ = conn.Close()
+				return true
+			}
+			a := entry.call(http.MethodPost, "/x/1", "")
+			t.Logf("status %d, header %q, body %q, error %v", a.status, a.header, a.body, a.err)
+			is.NoErr(a.err)
+			is.Equal(a.status, http.StatusBadGateway)
+			is.Equal(a.header.Get("X-Response-Signature"), "")
+			is.True(!strings.Contains(a.body, "ok"))
+		})
+	}
+}
+
 // TestExtraAnswerIsForNobody has an upstream that sends an extra response after a
 // complete one on a persistent connection. The next request must not get it.
 func TestExtraAnswerIsForNobody(t *testing.T) {
--- /dev/null
+++ b/lab/mesh/storeanswers_test.go
@@ -0,0 +1,88 @@
+package mesh
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"fuchsiavane.org/node/event"
+	"fuchsiavane.org/node/kv"
+	"fuchsiavane.org/node/kv/client"
+	"fuchsiavane.org/platform"
+)
+
+// serveText starts a store that answers each request with a text and closes the
+// connection.
+func serveText(t *testing.T, text string) (addr string) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				if request, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+					_, _ = io.Copy(io.Discard, request.Body)
+					_, _ = io.WriteString(conn, text)
+				}
+			}()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// TestInvalidHeadsOfTheStoreAreErrors has the store answer with a head that HTTP doesn't
+// allow. No call may take it for a value or for a write that was done.
+func TestInvalidHeadsOfTheStoreAreErrors(t *testing.T) {
+	const body = `{"key":"join/a","value":"YQ==","revision":7,"at_rev":7,"id":"1"}`
+	for name, head := range map[string]string{
+		"status 000": "HTTP/1.1 000 Trouble\r\nRevision: 7\r\n",
+		"status 101": "HTTP/1.1 101 Switching Protocols\r\nRevision: 7\r\n",
+		"status 999": "HTTP/1.1 999 Trouble\r\nRevision: 7\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			addr := serveText(t, fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, len(body), body))
+			own, err := client.New("http://" + addr)
+			is.New(t).NoErr(err)
+			users := platform.NewStore(&platform.Settings{StoreAddr: netip.MustParseAddrPort(addr), MaxValueBytes: 64}, event.Discard())
+			for _, store := range []kv.Store{own, users} {
+				expectErrors(t, store)
+			}
+		})
+	}
+}
+
+// expectErrors checks that each kind of call to a store fails.
+func expectErrors(t *testing.T, store kv.Store) {
+	t.Helper()
+	is := is.New(t)
+	ctx := context.Background()
+	_, err := store.Get(ctx, "join/a")
+	is.True(err != nil)
+	_, _, err = store.List(ctx, "join/")
+	is.True(err != nil)
+	_, _, err = store.Watch(ctx, "join/", 1, 10*time.Millisecond)
+	is.True(err != nil)
+	_, err = store.Put(ctx, "join/a", []byte("1"), 0, "")
+	is.True(err != nil)
+	is.True(store.Delete(ctx, "join/a", 7) != nil)
+	_, err = store.Grant(ctx, time.Minute)
+	is.True(err != nil)
+	is.True(store.KeepAlive(ctx, "1") != nil)
+	is.True(store.Revoke(ctx, "1") != nil)
+}
--- a/node/link/link_test.go
+++ b/node/link/link_test.go
@@ -358,6 +358,40 @@
 	is.Equal(decodeAnswer(&wire.Answer{Outcome: "not-run"}, nil).Outcome, call.NotRun)
 }
 
+// TestInvalidAnswerOfAPeerFailsItsCallAlone has a peer pass on a head that HTTP doesn't
+// allow, as older daemons do. The outcome of that call is unknown; the link goes on.
+func TestInvalidAnswerOfAPeerFailsItsCallAlone(t *testing.T) {
+	for name, spoil := range map[string]func(*call.Answer){
+		"status 000": func(a *call.Answer) { a.Status = 0 },
+		"status 101": func(a *call.Answer) { a.Status = http.StatusSwitchingProtocols },
+		"status 999": func(a *call.Answer) { a.Status = 999 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			p := newPeer(t, "k", call.ServerFunc(func(_ context.Context, r *call.Request) *call.Answer {
+				if string(r.Body) != "spoil" {
+					return answerWith(r.Body, int64(len(r.Body)))
+				}
+				a := answerWith(make([]byte, 4*wire.MaxChunk), -1)
+				spoil(a)
+				return a
+			}))
+			pool := newTestPool(t, "k")
+			_, err := pool.Do(context.Background(), p.addr(), ClassUrgent, newRequest([]byte("spoil")))
+			var failure *Error
+			is.True(errors.As(err, &failure))
+			is.True(failure.Sent)
+			link, err := pool.get(context.Background(), target{p.addr(), ClassUrgent})
+			is.NoErr(err)
+			is.True(!link.hasCalls())
+			answer, err := pool.Do(context.Background(), p.addr(), ClassUrgent, newRequest([]byte("next")))
+			is.NoErr(err)
+			is.Equal(content(t, answer), "next")
+			is.True(!link.isClosed())
+		})
+	}
+}
+
 func TestDialThatFailsIsHeldOff(t *testing.T) {
 	is := is.New(t)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/node/link/stream.go
+++ b/node/link/stream.go
@@ -6,6 +6,7 @@
 	"github.com/pkg/errors"
 
 	"fuchsiavane.org/node/call"
+	"fuchsiavane.org/node/httphead"
 	"fuchsiavane.org/node/wire"
 )
 
@@ -133,7 +134,13 @@
 	if f.Type != wire.TypeAnswer {
 		return nil
 	}
-	return s.receiveHead(decodeAnswer(f.Answer, s.body))
+	answer := decodeAnswer(f.Answer, s.body)
+	if err := httphead.CheckStatus(answer.Status); err != nil {
+		s.cancel()
+		s.fail(errors.Wrap(err, "link: answer"))
+		return nil
+	}
+	return s.receiveHead(answer)
 }
 
 // receiveHead passes the head of the answer to the caller.
--- a/node/oneshot/oneshot.go
+++ b/node/oneshot/oneshot.go
@@ -10,6 +10,10 @@
 	"net"
 	"net/http"
 	"time"
+
+	"github.com/pkg/errors"
+
+	"fuchsiavane.org/node/httphead"
 )
 
 // dialTimeout bounds the opening of a connection. A call to an address that doesn't
@@ -17,10 +21,26 @@
 const dialTimeout = 700 * time.Millisecond
 
 // NewClient returns a client whose calls end after a timeout, 0 for none, and accept
-// response headers of up to maxHeaderBytes.
+// response headers of up to maxHeaderBytes. Responses with an invalid head are errors.
 func NewClient(timeout time.Duration, maxHeaderBytes int64) *http.Client {
 	dialer := net.Dialer{Timeout: dialTimeout}
-	return &http.Client{Timeout: timeout, Transport: &http.Transport{
+	return &http.Client{Timeout: timeout, Transport: checkedTransport{&http.Transport{
 		DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes,
-	}}
+	}}}
+}
+
+// checkedTransport fails calls whose response has an invalid head.
+type checkedTransport struct{ transport *http.Transport }
+
+// RoundTrip implements http.RoundTripper.
+func (t checkedTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	response, err := t.transport.RoundTrip(r)
+	if err != nil {
+		return nil, err
+	}
+	if err := httphead.Check(response); err != nil {
+		_ = response.Body.Close()
+		return nil, errors.Wrap(err, "response")
+	}
+	return response, nil
 }
--- a/node/upstream/exchange.go
+++ b/node/upstream/exchange.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"fuchsiavane.org/node/call"
+	"fuchsiavane.org/node/httphead"
 )
 
 // exchange is one request and its response on a connection to the upstream.
@@ -115,8 +116,11 @@
 			}
 			return errors.Wrap(err, "answer")
 		}
+		if err := httphead.Check(response); err != nil {
+			return errors.Wrap(err, "answer")
+		}
 		// Interim responses precede the final one. Source: RFC 9110, section 15.2.
-		if response.StatusCode >= http.StatusOK || response.StatusCode == http.StatusSwitchingProtocols {
+		if response.StatusCode >= http.StatusOK {
 			c.idleLimit = announcedIdle(response.Header)
 			e.empty = response.Body == http.NoBody
 			e.endsWithConn = !e.empty && response.ContentLength < 0 && len(response.TransferEncoding) == 0
