An answer with an invalid field name is no answer

Callers saw: reported from another system, a client that got an answer although the name of a field in its head held a blank or a control byte, with that line passed on or with another body.

Cause: net/http accepts names with blanks and doesn't canonicalise them, so that "Content-Length " and "Transfer-Encoding " frame nothing: the body then lasts until the connection ends.

Ruled out: names with other bytes that are no token, empty names and lines without a colon; net/http refuses them. On links no check was made.

Change: node/httphead takes only tokens for field names (RFC 9110, section 5.6.2), at the places that check the status: the upstream, the store, peers' calls, and answers that peers pass on.

--- a/lab/mesh/answers_test.go
+++ b/lab/mesh/answers_test.go
@@ -117,6 +117,9 @@
 		"status 000 before another": "HTTP/1.1 000 Trouble\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\n" + own + "Content-Length: 2\r\n\r\nok",
 		"status 101":                "HTTP/1.1 101 Switching Protocols\r\n" + own + "\r\nok",
 		"status 999":                "HTTP/1.1 999 Trouble\r\n" + own + "Content-Length: 2\r\n\r\nok",
+		"blank in a name":           "HTTP/1.1 200 OK\r\n" + own + "X Trouble: 1\r\nContent-Length: 2\r\n\r\nok",
+		"blank after a name":        "HTTP/1.1 200 OK\r\n" + own + "Transfer-Encoding : chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+		"control byte in a name":    "HTTP/1.1 200 OK\r\n" + own + "X-\x01Trouble: 1\r\nContent-Length: 2\r\n\r\nok",
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
--- a/lab/mesh/storeanswers_test.go
+++ b/lab/mesh/storeanswers_test.go
@@ -51,9 +51,12 @@
 func TestInvalidHeadsOfTheStoreAreErrors(t *testing.T) {
 	const body = `{"key":"join/a","value":"YQ==","revision":7,"at_rev":7,"id":"1"}`
 	for name, head := range map[string]string{
-		"status 000": "HTTP/1.1 000 Trouble\r\nRevision: 7\r\n",
-		"status 101": "HTTP/1.1 101 Switching Protocols\r\nRevision: 7\r\n",
-		"status 999": "HTTP/1.1 999 Trouble\r\nRevision: 7\r\n",
+		"status 000":             "HTTP/1.1 000 Trouble\r\nRevision: 7\r\n",
+		"status 101":             "HTTP/1.1 101 Switching Protocols\r\nRevision: 7\r\n",
+		"status 999":             "HTTP/1.1 999 Trouble\r\nRevision: 7\r\n",
+		"blank in a name":        "HTTP/1.1 200 OK\r\nRevision: 7\r\nX Trouble: 1\r\n",
+		"blank after a name":     "HTTP/1.1 200 OK\r\nRevision: 7\r\nX-Trouble : 1\r\n",
+		"control byte in a name": "HTTP/1.1 200 OK\r\nRevision: 7\r\nX\x01Trouble: 1\r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
 			addr := serveText(t, fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, len(body), body))
--- a/node/httphead/httphead.go
+++ b/node/httphead/httphead.go
@@ -5,6 +5,7 @@
 
 import (
 	"net/http"
+	"strings"
 
 	"github.com/pkg/errors"
 )
@@ -14,15 +15,23 @@
 	if r.ProtoMajor != 1 {
 		return errors.Errorf("protocol version %s is not HTTP/1", r.Proto)
 	}
-	return CheckStatus(r.StatusCode)
+	return CheckAnswer(r.StatusCode, r.Header)
+}
+
+// CheckAnswer returns an error if the status or a field name of a response is not valid.
+func CheckAnswer(status int, header http.Header) error {
+	if err := checkStatus(status); err != nil {
+		return err
+	}
+	return checkNames(header)
 }
 
 // maxStatus is the largest status code. Source: RFC 9110, section 15.
 const maxStatus = 599
 
-// CheckStatus returns an error if a response to a request without an upgrade can't have a
+// checkStatus returns an error if a response to a request without an upgrade can't have a
 // status code.
-func CheckStatus(status int) error {
+func checkStatus(status int) error {
 	if status < http.StatusContinue || status > maxStatus {
 		return errors.Errorf("status %03d is not between %d and %d", status, http.StatusContinue, maxStatus)
 	}
@@ -31,3 +40,33 @@
 	}
 	return nil
 }
+
+// checkNames returns an error if a field name is not a token. A recipient that takes
+// "Content-Length " for another field than "Content-Length" reads another body.
+// Source: RFC 9112, section 5.1.
+func checkNames(header http.Header) error {
+	for name := range header {
+		if !isToken(name) {
+			return errors.Errorf("field name %q is not a token", name)
+		}
+	}
+	return nil
+}
+
+// isToken reports whether a string is a token. Source: RFC 9110, section 5.6.2.
+func isToken(s string) bool {
+	for i := range len(s) {
+		if !isTokenByte(s[i]) {
+			return false
+		}
+	}
+	return s != ""
+}
+
+func isTokenByte(b byte) bool {
+	switch {
+	case 'a' <= b && b <= 'z', 'A' <= b && b <= 'Z', '0' <= b && b <= '9':
+		return true
+	}
+	return strings.IndexByte("!#$%&'*+-.^_`|~", b) >= 0
+}
--- a/node/link/link_test.go
+++ b/node/link/link_test.go
@@ -362,9 +362,12 @@
 // allow, as older daemons do. The outcome of that call is unknown; the link goes on.
 func TestInvalidAnswerOfAPeerFailsItsCallAlone(t *testing.T) {
 	for name, spoil := range map[string]func(*call.Answer){
-		"status 000": func(a *call.Answer) { a.Status = 0 },
-		"status 101": func(a *call.Answer) { a.Status = http.StatusSwitchingProtocols },
-		"status 999": func(a *call.Answer) { a.Status = 999 },
+		"status 000":                   func(a *call.Answer) { a.Status = 0 },
+		"status 101":                   func(a *call.Answer) { a.Status = http.StatusSwitchingProtocols },
+		"status 999":                   func(a *call.Answer) { a.Status = 999 },
+		"blank in a field name":        func(a *call.Answer) { a.Header["X Trouble"] = []string{"1"} },
+		"control byte in a field name": func(a *call.Answer) { a.Header["X\x01Trouble"] = []string{"1"} },
+		"no field name":                func(a *call.Answer) { a.Header[""] = []string{"1"} },
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
--- a/node/link/stream.go
+++ b/node/link/stream.go
@@ -135,7 +135,7 @@
 		return nil
 	}
 	answer := decodeAnswer(f.Answer, s.body)
-	if err := httphead.CheckStatus(answer.Status); err != nil {
+	if err := httphead.CheckAnswer(answer.Status, answer.Header); err != nil {
 		s.cancel()
 		s.fail(errors.Wrap(err, "link: answer"))
 		return nil
--- a/node/upstream/head_test.go
+++ b/node/upstream/head_test.go
@@ -26,6 +26,19 @@
 	}
 }
 
+// TestInvalidFieldNameIsNoAnswer checks that a field name that is no token fails the
+// request, in the final head as in an interim one. Without its field "Content-Length" or
+// "Transfer-Encoding" the body would not be the one that the upstream means.
+func TestInvalidFieldNameIsNoAnswer(t *testing.T) {
+	for _, field := range []string{
+		"X Trouble: 1", "X-Trouble : 1", "Content-Length : 2", "Transfer-Encoding : chunked", " X-Trouble: 1",
+		"X\tTrouble: 1", "X-Trouble\t: 1", "X\x00Trouble: 1", "X\x7fTrouble: 1", "\x01: 1", "X\rTrouble: 1", ": 1", "X-Trouble",
+	} {
+		expectNoAnswer(t, "HTTP/1.1 200 OK\r\n"+field+"\r\nConnection: close\r\n\r\nok")
+		expectNoAnswer(t, "HTTP/1.1 103 Early Hints\r\n"+field+"\r\n\r\n"+completeResponse)
+	}
+}
+
 // expectNoAnswer checks that a request whose upstream sends text fails, and that it may
 // have run.
 func expectNoAnswer(t *testing.T, sent string) {
