An answer of the store without its fields confirms nothing

Callers saw: nothing; found by looking at the other places that read answers.

Evidence, on: go test ./lab/mesh -run TestIncompleteAnswersOfTheStoreAreErrors --- FAIL: no_body, nothing Get returned an entry (users' platform) --- FAIL: empty_object, null Put returned no error --- FAIL: another_entry Put returned no error --- PASS: cut JSON that ends early was an error before, kept

Cause: a field that a response lacks decodes to zero, and zero was taken for a value. A Put without a revision in its answer counted as written: a claim or a departure that the store may not have.

Ruled out: cut JSON; a value in our own protocol without its header Revision (an error before).

Result: the test passes, as do go test -race ./platform ./node/... and the tests of lab/mesh on the store, configurations and departures.

--- a/lab/mesh/storeanswers_test.go
+++ b/lab/mesh/storeanswers_test.go
@@ -60,12 +60,55 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			addr := serveText(t, fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, len(body), body))
-			own, err := client.New("http://" + addr)
-			is.New(t).NoErr(err)
-			users := platform.NewStore(&platform.Settings{StoreAddr: netip.MustParseAddrPort(addr), MaxValueBytes: 64}, event.Discard())
+			own, users := storesAt(t, addr)
+			expectErrors(t, own)
+			expectErrors(t, users)
+		})
+	}
+}
+
+// storesAt returns the clients of a store at an address, in our own protocol and in that
+// of the users' platform.
+func storesAt(t *testing.T, addr string) (own, users kv.Store) {
+	t.Helper()
+	own, err := client.New("http://" + addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return own, platform.NewStore(&platform.Settings{StoreAddr: netip.MustParseAddrPort(addr), MaxValueBytes: 64}, event.Discard())
+}
+
+// TestIncompleteAnswersOfTheStoreAreErrors has the store answer 200 without the fields
+// that a call needs, or with another entry. A write of which the store says no revision
+// may not have been done.
+func TestIncompleteAnswersOfTheStoreAreErrors(t *testing.T) {
+	for name, answer := range map[string]string{
+		"no body":       "Content-Length: 0\r\n\r\n",
+		"nothing":       "\r\n",
+		"empty object":  "Content-Length: 2\r\n\r\n{}",
+		"null":          "Content-Length: 4\r\n\r\nnull",
+		"another entry": "Content-Length: 43\r\n\r\n" + `{"key":"join/b","value":"YQ==","at_rev":7 }`,
+		"cut":           "\r\n" + `{"key":"join/a","value":"YQ==","revision":7,"at_rev":7,"id":"1"`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			ctx := context.Background()
+			own, users := storesAt(t, serveText(t, "HTTP/1.1 200 OK\r\n"+answer))
 			for _, store := range []kv.Store{own, users} {
-				expectErrors(t, store)
+				_, err := store.Get(ctx, "join/a")
+				is.True(err != nil)
+				_, err = store.Put(ctx, "join/a", []byte("1"), 0, "")
+				is.True(err != nil)
+				_, err = store.Grant(ctx, time.Minute)
+				is.True(err != nil)
+			}
+			if name == "another entry" {
+				return
 			}
+			_, _, err := users.List(ctx, "join/")
+			is.True(err != nil)
+			_, _, err = users.Watch(ctx, "join/", 1, 10*time.Millisecond)
+			is.True(err != nil)
 		})
 	}
 }
--- a/node/kv/client/client.go
+++ b/node/kv/client/client.go
@@ -104,6 +104,9 @@
 		QueryStruct(putParams{ifRevision, lease}).
 		Body(strings.NewReader(string(value)))
 	r, err := c.json(ctx, request, callTimeout)
+	if err == nil && r.Revision == 0 {
+		return 0, errors.New("platform: the response has no revision, the write may not have been done")
+	}
 	return r.Revision, err
 }
 
@@ -155,6 +158,9 @@
 // Grant implements kv.Store.
 func (c *Client) Grant(ctx context.Context, ttl time.Duration) (string, error) {
 	r, err := c.json(ctx, c.base.New().Post("v1/leases").BodyJSON(grantBody{ttl.Milliseconds()}), callTimeout)
+	if err == nil && r.ID == "" {
+		return "", errors.New("platform: the response has no lease")
+	}
 	return r.ID, err
 }
 
