Response bodies without end are bounded in memory and are errors

Callers saw: on another system, a machine that ran out of memory by bytes without end.

Cause: the client of the store reads 8 MB and closes, but the kernel's receive buffer grows to tens of megabytes (tcp_rmem) for a fast sender. The operators' command decoded a status of any length. All clients of package oneshot took the first part of a body beyond their bound for the whole.

Ruled out: heads without end, which net/http bounds; answers of membership streams, whose body isn't read.

The operators' command uses that client.

TestStoreThatSendsWithoutEnd sent its bytes before it had read the request; net/http then closes the connection as unsolicited, and the case was passed without being played. It reads the request first now; its checks and bounds are the same.

--- a/lab/mesh/endless_test.go
+++ b/lab/mesh/endless_test.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"fmt"
@@ -209,7 +210,13 @@
 					if err != nil {
 						return
 					}
-					go func() { taken <- e.send(conn, "") }()
+					go func() {
+						// A response before the request would be refused as unsolicited.
+						if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
+							t.Error(err)
+						}
+						taken <- e.send(conn, "")
+					}()
 				}
 			}()
 			store := platform.NewStore(&platform.Settings{
--- a/node/cli/cli_test.go
+++ b/node/cli/cli_test.go
@@ -289,3 +289,23 @@
 	is.True(status != ExitOK)
 	is.True(strings.Contains(stderr, "shield"))
 }
+
+// TestStatusWithoutEndIsAnError has a daemon's admin port send a status without end: the
+// command fails, and takes a bounded number of bytes.
+func TestStatusWithoutEndIsAnError(t *testing.T) {
+	is := is.New(t)
+	const maxTaken = 32 << 20 // the largest status, and the buffers of the sockets
+	var taken atomic.Int64
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, err := w.Write([]byte(`{"instance":"`))
+		for block := bytes.Repeat([]byte("a"), 64<<10); err == nil && taken.Load() <= maxTaken; {
+			var n int
+			n, err = w.Write(block)
+			taken.Add(int64(n))
+		}
+	}))
+	t.Cleanup(server.Close)
+	status, _, _ := run(t, "", "status", "-daemon", server.URL)
+	is.Equal(status, 1)
+	is.True(taken.Load() <= maxTaken)
+}
--- a/node/cli/fleet.go
+++ b/node/cli/fleet.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"slices"
 	"strings"
 	"sync"
@@ -12,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"fuchsiavane.org/node/admin"
+	"fuchsiavane.org/node/oneshot"
 )
 
 const (
@@ -21,6 +21,9 @@
 	maxConcurrentRequests = 16
 )
 
+// adminLimits bounds the responses of admin ports. A status lists the whole fleet.
+var adminLimits = oneshot.Limits{HeaderBytes: 64 << 10, BodyBytes: 16 << 20}
+
 // rollout lists the live daemons that have a revision of the settings in force
 // and those that do not.
 type rollout struct {
@@ -119,7 +122,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, adminTimeout)
 	defer cancel()
-	response, err := s.Client(http.DefaultClient).Do(request.WithContext(ctx), result, nil)
+	response, err := s.Client(oneshot.NewClient(0, adminLimits)).Do(request.WithContext(ctx), result, nil)
 	if err != nil {
 		return errors.Wrapf(err, "daemon at %s", base)
 	}
--- a/node/kv/client/client.go
+++ b/node/kv/client/client.go
@@ -47,7 +47,7 @@
 	}
 	return &Client{
 		base: sling.New().Base(strings.TrimSuffix(baseURL, "/") + "/"),
-		http: oneshot.NewClient(0, maxHeaderBytes),
+		http: oneshot.NewClient(0, oneshot.Limits{HeaderBytes: maxHeaderBytes, BodyBytes: maxResponseBytes}),
 	}, nil
 }
 
@@ -207,7 +207,7 @@
 		return nil, nil, errors.Wrap(err, "platform")
 	}
 	defer response.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
+	body, err := io.ReadAll(response.Body)
 	if err != nil {
 		return nil, nil, errors.Wrap(err, "platform: response")
 	}
--- a/node/membership/membership.go
+++ b/node/membership/membership.go
@@ -99,7 +99,7 @@
 	d := &Driver{
 		config:          c,
 		seal:            seal.New(c.Key),
-		client:          oneshot.NewClient(streamTimeout, maxResponseHeaderBytes),
+		client:          oneshot.NewClient(streamTimeout, oneshot.Limits{HeaderBytes: maxResponseHeaderBytes}),
 		counters:        newCounters(c.Metrics),
 		start:           time.Now(),
 		member:          member.New(c.Self, 0, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
--- a/node/peercall/peercall.go
+++ b/node/peercall/peercall.go
@@ -44,7 +44,8 @@
 // New returns an Endpoint that seals its messages with the link key. respond returns the
 // response to a peer's request, or an error if the request is malformed.
 func New(p Protocol, key []byte, respond func(request []byte) ([]byte, error)) *Endpoint {
-	return &Endpoint{protocol: p, seal: seal.New(key), client: oneshot.NewClient(p.Timeout, maxResponseHeaderBytes), respond: respond}
+	limits := oneshot.Limits{HeaderBytes: maxResponseHeaderBytes, BodyBytes: p.MaxResponseBytes}
+	return &Endpoint{protocol: p, seal: seal.New(key), client: oneshot.NewClient(p.Timeout, limits), respond: respond}
 }
 
 // ServeHTTP responds to a peer's call on the peer port.
@@ -92,7 +93,7 @@
 	if response.StatusCode != http.StatusOK {
 		return nil, errors.Errorf("the peer at %s responded with status %d", addr, response.StatusCode)
 	}
-	received, err := io.ReadAll(io.LimitReader(response.Body, e.protocol.MaxResponseBytes))
+	received, err := io.ReadAll(response.Body)
 	if err != nil {
 		return nil, errors.Wrap(err, "read response")
 	}
