Chunks of an HTTP/1.0 answer are not taken for its body

Callers saw: nothing; found by looking for other heads that change the meaning of a body.

Evidence, on: go test ./node/upstream -run HTTP10 --- FAIL: TestTransferCodingInHTTP10IsNoAnswer status 200, body "2\r\nok\r\n0\r\n\r\n"; with "Content-Length: 2" the body "2\r" --- PASS: TestHTTP10IsAnswered

Cause: net/http drops the field Transfer-Encoding of an HTTP/1.0 response and reads the body as if there were none. RFC 9112, section 6.1: such framing is faulty.

Ruled out: refusing all of HTTP/1.0, which upstreams may speak without harm; the clients of the store and of peers, whose bodies are JSON or sealed.

Change: httphead.CheckFraming looks at the head before net/http reads it, for HTTP/1.0 alone.

Result: go test -race -count=3 ./node/upstream ./node/httphead passes.

--- a/node/httphead/httphead.go
+++ b/node/httphead/httphead.go
@@ -4,6 +4,8 @@
 package httphead
 
 import (
+	"bufio"
+	"bytes"
 	"net/http"
 	"strings"
 
@@ -18,6 +20,36 @@
 	return CheckAnswer(r.StatusCode, r.Header)
 }
 
+const oldVersion = "HTTP/1.0"
+
+// CheckFraming returns an error if the response that is next in r is of HTTP/1.0 and names
+// a transfer coding, which that version doesn't have. net/http drops the field, so that
+// Check can't see it. Only the part of the head that fits into the buffer of r is checked.
+// Source: RFC 9112, section 6.1.
+func CheckFraming(r *bufio.Reader) error {
+	if version, err := r.Peek(len(oldVersion)); err != nil || string(version) != oldVersion {
+		return nil // reading the response fails for the same reason, if at all
+	}
+	var head []byte
+	for err := error(nil); err == nil && !endsHead(head); {
+		head, err = r.Peek(max(r.Buffered(), len(head)+1))
+	}
+	for line := range bytes.Lines(head) {
+		if len(bytes.TrimRight(line, "\r\n")) == 0 {
+			break
+		}
+		if name, _, _ := bytes.Cut(line, []byte(":")); strings.EqualFold(string(name), "Transfer-Encoding") {
+			return errors.Errorf("%s with the field Transfer-Encoding", oldVersion)
+		}
+	}
+	return nil
+}
+
+// endsHead reports whether the end of a head is among bytes that begin with the head.
+func endsHead(b []byte) bool {
+	return bytes.Contains(b, []byte("\n\r\n")) || bytes.Contains(b, []byte("\n\n"))
+}
+
 // CheckAnswer returns an error if the status or a field name of a response is not valid.
 func CheckAnswer(status int, header http.Header) error {
 	if err := checkStatus(status); err != nil {
--- a/node/upstream/exchange.go
+++ b/node/upstream/exchange.go
@@ -109,6 +109,9 @@
 	c.headRemaining = call.MaxHeaderBytes
 	defer func() { c.headRemaining = -1 }()
 	for {
+		if err := httphead.CheckFraming(c.reader); err != nil {
+			return errors.Wrap(err, "answer")
+		}
 		response, err := http.ReadResponse(c.reader, request)
 		if err != nil {
 			if c.reused {
--- a/node/upstream/head_test.go
+++ b/node/upstream/head_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -39,6 +40,36 @@
 	}
 }
 
+// TestTransferCodingInHTTP10IsNoAnswer checks that HTTP/1.0, which has no transfer codings,
+// isn't read as if its chunks were the body.
+func TestTransferCodingInHTTP10IsNoAnswer(t *testing.T) {
+	const chunks = "\r\n\r\n2\r\nok\r\n0\r\n\r\n"
+	expectNoAnswer(t, "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked"+chunks)
+	expectNoAnswer(t, "HTTP/1.0 200 OK\r\nX-A: 1\r\ntransfer-ENCODING:chunked\r\nContent-Length: 2"+chunks)
+	expectNoAnswer(t, "HTTP/1.0 200 OK\nTransfer-Encoding: chunked\n\nok")
+}
+
+// TestHTTP10IsAnswered checks that other answers of HTTP/1.0 are taken, whatever the size
+// of the head and of the pieces in which it arrives.
+func TestHTTP10IsAnswered(t *testing.T) {
+	large := "X-Large: " + strings.Repeat("a", 2*bufferSize) + "\r\n"
+	for _, head := range []string{"", "X-A: Transfer-Encoding: chunked\r\n", large} {
+		is := is.New(t)
+		up := newScripted(t, func(_ int64, conn net.Conn, from *bufio.Reader) {
+			if !readRequest(from) {
+				return
+			}
+			for _, part := range []string{"HTTP/1", ".0 200 OK\r\n", head, "\r", "\nTransfer-Encoding: a body"} {
+				_, _ = io.WriteString(conn, part)
+				time.Sleep(2 * time.Millisecond) // so that the parts arrive one by one
+			}
+		})
+		got, err := text(up.runner().Serve(context.Background(), get(testTimeout)))
+		is.NoErr(err)
+		is.Equal(got, "Transfer-Encoding: a body")
+	}
+}
+
 // expectNoAnswer checks that a request whose upstream sends text fails, and that it may
 // have run.
 func expectNoAnswer(t *testing.T, sent string) {
