Read heads of responses in one place

Callers saw nothing. httphead.Read now peeks, parses and checks a head, so that an error while peeking is returned as it is, not met a second time by net/http; the kernel reports a reset once, and the second read said "unexpected EOF" in its place. The tests' stand-ins share the loop that accepts connections.

Ruled out: another outcome for callers, since both errors fail the request in the same way.

--- a/lab/mesh/endless_test.go
+++ b/lab/mesh/endless_test.go
@@ -200,30 +200,19 @@
 		t.Run(e.name, func(t *testing.T) {
 			t.Parallel()
 			is := is.New(t)
-			listener, err := net.Listen("tcp", "127.0.0.1:0")
-			is.NoErr(err)
-			t.Cleanup(func() { _ = listener.Close() })
 			taken := make(chan int64, 16)
-			go func() {
-				for {
-					conn, err := listener.Accept()
-					if err != nil {
-						return
-					}
-					go func() {
-						// A response before the request would be refused as unsolicited.
-						if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
-							t.Error(err)
-						}
-						taken <- e.send(conn, "")
-					}()
+			addr := serveConns(t, func(conn net.Conn) {
+				// A response before the request would be refused as unsolicited.
+				if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
+					t.Error(err)
 				}
-			}()
+				taken <- e.send(conn, "")
+			})
 			store := platform.NewStore(&platform.Settings{
-				StoreAddr: netip.MustParseAddrPort(listener.Addr().String()), MaxValueBytes: 1 << 20,
+				StoreAddr: netip.MustParseAddrPort(addr), MaxValueBytes: 1 << 20,
 			}, event.Discard())
 			began := time.Now()
-			_, err = store.Get(context.Background(), "join/a")
+			_, err := store.Get(context.Background(), "join/a")
 			is.True(err != nil)
 			is.True(time.Since(began) < 4*time.Second)
 			select {
--- a/lab/mesh/storeanswers_test.go
+++ b/lab/mesh/storeanswers_test.go
@@ -22,6 +22,18 @@
 // serveText starts a store that answers each request with a text and closes the
 // connection.
 func serveText(t *testing.T, text string) (addr string) {
+	t.Helper()
+	return serveConns(t, func(conn net.Conn) {
+		defer conn.Close()
+		if request, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+			_, _ = io.Copy(io.Discard, request.Body)
+			_, _ = io.WriteString(conn, text)
+		}
+	})
+}
+
+// serveConns accepts connections until the end of the test and calls handle for each.
+func serveConns(t *testing.T, handle func(net.Conn)) (addr string) {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -34,13 +46,7 @@
 			if err != nil {
 				return
 			}
-			go func() {
-				defer conn.Close()
-				if request, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
-					_, _ = io.Copy(io.Discard, request.Body)
-					_, _ = io.WriteString(conn, text)
-				}
-			}()
+			go handle(conn)
 		}
 	}()
 	return listener.Addr().String()
--- a/node/httphead/httphead.go
+++ b/node/httphead/httphead.go
@@ -6,6 +6,7 @@
 import (
 	"bufio"
 	"bytes"
+	"io"
 	"net/http"
 	"strings"
 
@@ -20,34 +21,67 @@
 	return CheckAnswer(r.StatusCode, r.Header)
 }
 
-const oldVersion = "HTTP/1.0"
+// Read reads the head of a response from r and checks it.
+func Read(r *bufio.Reader, request *http.Request) (*http.Response, error) {
+	if err := checkFraming(r); err != nil {
+		return nil, err
+	}
+	response, err := http.ReadResponse(r, request)
+	if err != nil {
+		return nil, err
+	}
+	return response, Check(response)
+}
 
-// CheckFraming returns an error if the response that is next in r is of HTTP/1.0 and names
+const version10 = "HTTP/1.0"
+
+// checkFraming returns an error if the response that is next in r is of HTTP/1.0 and names
 // a transfer coding, which that version doesn't have. net/http drops the field, so that
 // Check can't see it. Only the part of the head that fits into the buffer of r is checked.
 // Source: RFC 9112, section 6.1.
-func CheckFraming(r *bufio.Reader) error {
-	if version, err := r.Peek(len(oldVersion)); err != nil || string(version) != oldVersion {
-		return nil // reading the response fails for the same reason, if at all
+func checkFraming(r *bufio.Reader) error {
+	version, err := r.Peek(len(version10))
+	if err != nil {
+		return endError(err)
+	}
+	if string(version) != version10 {
+		return nil
 	}
-	var head []byte
-	for err := error(nil); err == nil && !endsHead(head); {
-		head, err = r.Peek(max(r.Buffered(), len(head)+1))
+	head, err := peekHead(r)
+	if err != nil {
+		return endError(err)
 	}
 	for line := range bytes.Lines(head) {
 		if len(bytes.TrimRight(line, "\r\n")) == 0 {
 			break
 		}
 		if name, _, _ := bytes.Cut(line, []byte(":")); strings.EqualFold(string(name), "Transfer-Encoding") {
-			return errors.Errorf("%s with the field Transfer-Encoding", oldVersion)
+			return errors.Errorf("%s with the field Transfer-Encoding", version10)
 		}
 	}
 	return nil
 }
 
-// endsHead reports whether the end of a head is among bytes that begin with the head.
-func endsHead(b []byte) bool {
-	return bytes.Contains(b, []byte("\n\r\n")) || bytes.Contains(b, []byte("\n\n"))
+// peekHead returns bytes that begin with a head, or with as much of it as fits into the
+// buffer of r.
+func peekHead(r *bufio.Reader) ([]byte, error) {
+	for size := r.Buffered(); ; size = max(r.Buffered(), size+1) {
+		b, err := r.Peek(size)
+		if errors.Is(err, bufio.ErrBufferFull) {
+			return b, nil
+		}
+		if err != nil || bytes.Contains(b, []byte("\n\r\n")) || bytes.Contains(b, []byte("\n\n")) {
+			return b, err
+		}
+	}
+}
+
+// endError returns the error for a connection that ends in the middle of a head.
+func endError(err error) error {
+	if errors.Is(err, io.EOF) {
+		return io.ErrUnexpectedEOF
+	}
+	return err
 }
 
 // CheckAnswer returns an error if the status or a field name of a response is not valid.
--- a/node/upstream/conns.go
+++ b/node/upstream/conns.go
@@ -88,8 +88,7 @@
 	// connection.
 	refused []string
 	// written is the number of bytes of the current request that the kernel
-	// accepted; writeErr is the error of its failed write, which net/http wraps
-	// beyond recognition.
+	// accepted; writeErr is the error of its failed write, whose cause net/http hides.
 	written  int
 	writeErr error
 	// headRemaining is the number of bytes that may still be read of a response
--- a/node/upstream/exchange.go
+++ b/node/upstream/exchange.go
@@ -109,19 +109,13 @@
 	c.headRemaining = call.MaxHeaderBytes
 	defer func() { c.headRemaining = -1 }()
 	for {
-		if err := httphead.CheckFraming(c.reader); err != nil {
-			return errors.Wrap(err, "answer")
-		}
-		response, err := http.ReadResponse(c.reader, request)
+		response, err := httphead.Read(c.reader, request)
 		if err != nil {
 			if c.reused {
 				e.recordFailure()
 			}
 			return errors.Wrap(err, "answer")
 		}
-		if err := httphead.Check(response); err != nil {
-			return errors.Wrap(err, "answer")
-		}
 		// Interim responses precede the final one. Source: RFC 9110, section 15.2.
 		if response.StatusCode >= http.StatusOK {
 			c.idleLimit = announcedIdle(response.Header)
