--- a/node/daemon/ports.go
+++ b/node/daemon/ports.go
@@ -29,9 +29,9 @@
 	maxReadHeaderBytes = 4 * call.MaxHeaderBytes
 	// idleTimeout closes connections without a request.
 	idleTimeout = 2 * time.Minute
-	// clientSendBuffer is the size in bytes of the send buffer of a client's connection.
+	// clientSendBufferBytes is the size in bytes of the send buffer of a client's connection.
 	// The kernel would let it grow to several megabytes for a client that stops reading.
-	clientSendBuffer = 256 << 10
+	clientSendBufferBytes = 256 << 10
 )
 
 // port is an HTTP server with its listener.
@@ -80,7 +80,7 @@
 		if !want.clients {
 			continue
 		}
-		if err := opened.listener.setSendBuffer(clientSendBuffer); err != nil {
+		if err := opened.listener.setSendBuffer(clientSendBufferBytes); err != nil {
 			p.close()
 			return nil, errors.Wrapf(err, "%s port: send buffer", want.name)
 		}
--- a/node/httphead/httphead.go
+++ b/node/httphead/httphead.go
@@ -30,7 +30,10 @@
 	if err != nil {
 		return nil, err
 	}
-	return response, Check(response)
+	if err := Check(response); err != nil {
+		return nil, err
+	}
+	return response, nil
 }
 
 const version10 = "HTTP/1.0"
--- a/node/link/stream.go
+++ b/node/link/stream.go
@@ -135,6 +135,7 @@
 		return nil
 	}
 	answer := decodeAnswer(f.Answer, s.body)
+	// Older daemons pass invalid heads of their upstreams on.
 	if err := httphead.CheckAnswer(answer.Status, answer.Header); err != nil {
 		s.cancel()
 		s.fail(errors.Wrap(err, "link: answer"))
--- a/node/oneshot/oneshot.go
+++ b/node/oneshot/oneshot.go
@@ -4,6 +4,9 @@
 // between its two ends has lost track of it. Nothing shows that on an idle connection,
 // so the next call on it waits for its timeout. Calls that must not wait, and that are
 // rare enough for a handshake each, use these clients.
+//
+// The clients bound what a response may take of the memory, also in the kernel, and
+// refuse responses that are larger or that have an invalid head.
 package oneshot
 
 import (
@@ -23,9 +26,9 @@
 // respond then fails soon enough to be made to another one.
 const dialTimeout = 700 * time.Millisecond
 
-// receiveBuffer is the size in bytes of a connection's receive buffer. The kernel would
+// receiveBufferBytes is the size in bytes of a connection's receive buffer. The kernel would
 // let it grow to tens of megabytes for a sender without end.
-const receiveBuffer = 256 << 10
+const receiveBufferBytes = 256 << 10
 
 // errBodyTooLarge means that a response body is larger than Limits.BodyBytes.
 var errBodyTooLarge = errors.New("the response body is too large")
@@ -51,7 +54,7 @@
 func boundReceiveBuffer(_, _ string, socket syscall.RawConn) error {
 	var optionErr error
 	err := socket.Control(func(fd uintptr) {
-		optionErr = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBuffer)
+		optionErr = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBufferBytes)
 	})
 	if err == nil {
 		err = optionErr
--- a/node/upstream/exchange.go
+++ b/node/upstream/exchange.go
@@ -22,10 +22,10 @@
 	conn *conn
 	// stop stops watching the context; it returns false if the context ended first.
 	stop func() bool
-	// written is closed once the request is written or its write has failed; writeErr
-	// is set before.
-	written  chan struct{}
-	writeErr error
+	// writeDone is closed once the request is written or its write has failed;
+	// requestErr says why it failed and is set before.
+	writeDone  chan struct{}
+	requestErr error
 	// startedAt is when sending started, and idle how long the connection was idle
 	// before.
 	startedAt time.Time
@@ -50,7 +50,7 @@
 		if err != nil {
 			return nil, false, contextError(ctx, err)
 		}
-		e = &exchange{ctx: ctx, conn: c, written: make(chan struct{}), startedAt: time.Now()}
+		e = &exchange{ctx: ctx, conn: c, writeDone: make(chan struct{}), startedAt: time.Now()}
 		if c.reused {
 			e.idle = e.startedAt.Sub(c.idleSince)
 		}
@@ -91,16 +91,16 @@
 	if e.conn.written > 0 {
 		return nil // the response may say why the upstream stopped reading
 	}
-	return e.writeErr
+	return e.requestErr
 }
 
 func (e *exchange) write(request *http.Request) {
-	defer close(e.written)
+	defer close(e.writeDone)
 	err := request.Write(e.conn.writer)
 	if err == nil {
 		err = e.conn.writer.Flush()
 	}
-	e.writeErr = errors.Wrap(err, "request")
+	e.requestErr = errors.Wrap(err, "request")
 }
 
 // receive reads the head of the response.
@@ -180,8 +180,8 @@
 // isWritten reports whether the request was written completely.
 func (e *exchange) isWritten() bool {
 	select {
-	case <-e.written:
-		return e.writeErr == nil
+	case <-e.writeDone:
+		return e.requestErr == nil
 	default:
 		return false
 	}
@@ -196,11 +196,11 @@
 		return nil
 	}
 	_ = e.conn.SetWriteDeadline(past)
-	<-e.written
-	if e.writeErr == nil || errors.Is(e.conn.writeErr, os.ErrDeadlineExceeded) {
+	<-e.writeDone
+	if e.requestErr == nil || errors.Is(e.conn.writeErr, os.ErrDeadlineExceeded) {
 		return nil // written, or the upstream no longer reads but has closed its side
 	}
-	return errors.Wrap(e.writeErr, "the answer may be cut")
+	return errors.Wrap(e.requestErr, "the answer may be cut")
 }
 
 // abandon ends an exchange and closes its connection. It reports whether the
@@ -211,7 +211,7 @@
 		e.stop()
 	}
 	_ = e.conn.Close()
-	<-e.written // the write ends, as the connection is closed
+	<-e.writeDone // the write ends, as the connection is closed
 	return e.conn.written > 0
 }
 
--- a/node/upstream/exchange_test.go
+++ b/node/upstream/exchange_test.go
@@ -8,8 +8,10 @@
 	"net"
 	"net/http"
 	"net/url"
+	"os"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -285,6 +287,34 @@
 	is.Equal(got, "whole")
 }
 
+// TestEndWithTheConnectionIsJudgedByTheWrite checks when a body without a length counts as
+// complete at the end of its connection, whichever size its request had.
+func TestEndWithTheConnectionIsJudgedByTheWrite(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		writeErr   error
+		isComplete bool
+	}{
+		{"written", nil, true},
+		{"stopped by the check", os.ErrDeadlineExceeded, true},
+		{"reset", syscall.ECONNRESET, false},
+		{"timed out", syscall.ETIMEDOUT, false},
+		{"closed", syscall.EPIPE, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			near, far := net.Pipe()
+			defer near.Close()
+			defer far.Close()
+			e := &exchange{conn: &conn{Conn: near, writeErr: c.writeErr}, writeDone: make(chan struct{}), requestErr: c.writeErr}
+			close(e.writeDone)
+			is := is.New(t)
+			is.NoErr(e.checkEnd()) // the body has an end of its own
+			e.endsWithConn = true
+			is.Equal(e.checkEnd() == nil, c.isComplete)
+		})
+	}
+}
+
 // TestIdleTimeOfTheUpstreamIsKept checks that a connection is reused only well within
 // the idle timeout of the Keep-Alive header.
 func TestIdleTimeOfTheUpstreamIsKept(t *testing.T) {
